Read the configuration again on SIGHUP and move the watch on discovery

Now: reload_config() reads the file through the one reader; GW_DISCOVERY counts at the start only, since the file is what is replaced. The address goes to PoolConfigActor's mailbox, which leaves its watch and opens the new one from the version held. A faulty file is named in the log and changes nothing. SIGTERM works before and after.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdlib>
 #include <fstream>
+#include <initializer_list>
 #include <sstream>
 
 #include "net/socket.h"
@@ -75,7 +76,11 @@
   return c;
 }
 
-Config load_config() {
+namespace {
+
+using Override = std::pair<const char*, const char*>;  // a variable, and the key that it goes before
+
+Config load(std::initializer_list<Override> overrides) {
   const char* path = std::getenv("GW_CONFIG");
   if (!path) fault("GW_CONFIG", "not set");
   std::ifstream file(path);
@@ -85,11 +90,16 @@
   const std::string bytes = text.str();
   Json::Value root = parse(bytes.data(), bytes.data() + bytes.size(), "GW_CONFIG");
   if (!root.isObject()) fault("GW_CONFIG", "not an object");
-  const std::pair<const char*, const char*> overrides[] = {
-      {"GW_NAME", "name"}, {"GW_LISTEN", "listen"}, {"GW_DISCOVERY", "discovery"}};
   for (const auto& [variable, key] : overrides)
     if (const char* value = std::getenv(variable)) root[key] = value;
   return read_config(root);
 }
 
+}  // namespace
+
+Config load_config() {
+  return load({{"GW_NAME", "name"}, {"GW_LISTEN", "listen"}, {"GW_DISCOVERY", "discovery"}});
+}
+Config reload_config() { return load({{"GW_NAME", "name"}, {"GW_LISTEN", "listen"}}); }
+
 }  // namespace beechhill::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -39,5 +39,7 @@
 
 // The file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY, where set, go before what it holds.
 Config load_config();
+// The same file once it has been replaced: its own `discovery` counts now, as the variable is from the start.
+Config reload_config();
 
 }  // namespace beechhill::config
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,10 +1,12 @@
-// The proxy: wires the actors together and ends in good order on SIGTERM.
+// The proxy: wires the actors together and reads its configuration again on SIGHUP and
+// ends in good order on SIGTERM.
 #include <sys/signalfd.h>
 #include <unistd.h>
 
 #include <csignal>
 #include <cstdio>
 #include <stdexcept>
+#include <utility>
 
 #include "proxy/decision_actor.h"
 #include "proxy/front_socket.h"
@@ -18,29 +20,55 @@
 constexpr std::size_t kOtherDescriptors = 32;  // standard streams, epoll, signals, listener, discovery
 constexpr std::size_t kFrontPercent = 55;
 
-runtime::Task<> end_on_signal(runtime::Scheduler& scheduler, net::Fd signals, proxy::FrontDoor& door) {
-  runtime::IoSource io(scheduler, signals.get());
-  signalfd_siginfo info{};
-  while (::read(signals.get(), &info, sizeof info) < 0) {
-    runtime::Wait wait(scheduler);
-    wait.readable(io);
-    co_await wait;
-  }
+runtime::Task<> end_in_order(runtime::Scheduler& scheduler, proxy::FrontDoor& door) {
   proxy::log_line("ending: no longer ready, still answering");
   co_await door.drain();
   proxy::log_line("ended: all is answered");
   scheduler.stop();
 }
 
-void serve() {
-  const config::Config config = config::load_config();
+// Of a new configuration only discovery's address is taken over; a faulty one changes nothing.
+void reload(proxy::WatchBox& watch) {
+  try {
+    const sockaddr_in discovery = config::reload_config().discovery;
+    if (!watch.post(proxy::MoveWatch{discovery})) return proxy::log_line("a full mailbox lost a reload");
+    proxy::log_line("configuration read again: discovery at " + net::to_string(discovery));
+  } catch (const std::exception& error) {
+    proxy::log_line(std::string("configuration kept, the new one is faulty: ") + error.what());
+  }
+}
+
+runtime::Task<> heed_signals(runtime::Scheduler& scheduler, net::Fd signals, proxy::FrontDoor& door,
+                             proxy::WatchBox& watch) {
+  runtime::IoSource io(scheduler, signals.get());
+  bool ending = false;
+  for (;;) {
+    signalfd_siginfo info{};
+    if (::read(signals.get(), &info, sizeof info) < 0) {
+      runtime::Wait wait(scheduler);
+      wait.readable(io);
+      co_await wait;
+    } else if (info.ssi_signo == SIGHUP) {
+      reload(watch);
+    } else if (!std::exchange(ending, true)) {
+      scheduler.spawn(end_in_order(scheduler, door));
+    }
+  }
+}
+
+net::Fd block_signals() {
   sigset_t mask;
   sigemptyset(&mask);
-  sigaddset(&mask, SIGTERM);
-  sigaddset(&mask, SIGINT);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&mask, number);
   sigprocmask(SIG_BLOCK, &mask, nullptr);
   net::Fd signals(::signalfd(-1, &mask, SFD_NONBLOCK | SFD_CLOEXEC));
   if (!signals) throw std::runtime_error("signalfd failed");
+  return signals;
+}
+
+void serve() {
+  net::Fd signals = block_signals();  // first: one that comes while starting waits its turn
+  const config::Config config = config::load_config();
 
   runtime::Scheduler scheduler;
   const std::size_t usable = config.sockets - kOtherDescriptors;
@@ -55,7 +83,7 @@
   scheduler.spawn(decisions.run());
   scheduler.spawn(pool_config.run(decisions.inbox()));
   scheduler.spawn(door.run());
-  scheduler.spawn(end_on_signal(scheduler, std::move(signals), door));
+  scheduler.spawn(heed_signals(scheduler, std::move(signals), door, pool_config.inbox()));
   proxy::log_line("serving at " + net::to_string(door.address()) + " as " + config.name);
   scheduler.run();
 }
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -195,7 +195,7 @@
 }
 
 void DecisionActor::act(const Watch&) {
-  if (!watch_.post(WatchNow{})) log_line("the list actor has an order to watch already");
+  if (!watch_.post(WatchMessage(WatchNow{}))) log_line("the list actor has an order to watch already");
 }
 
 void DecisionActor::act(const SetTimer& a) { timers_.emplace(a.at, a.token); }
--- a/src/proxy/log.cpp
+++ b/src/proxy/log.cpp
@@ -44,6 +44,8 @@
       return "discovery_silent";
     case EndReason::kDiscoveryBad:
       return "discovery_bad";
+    case EndReason::kDiscoveryMoved:
+      return "discovery_moved";
     case EndReason::kFault:
       return "fault";
   }
--- a/src/proxy/log.h
+++ b/src/proxy/log.h
@@ -26,6 +26,7 @@
   kDiscoveryEnded,   // the watch's connection ended
   kDiscoverySilent,  // the watch said nothing for too long
   kDiscoveryBad,     // the watch sent what cannot be read
+  kDiscoveryMoved,   // a new configuration names another discovery
   kFault,            // unforeseen
 };
 const char* code(EndReason reason);
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -41,7 +41,7 @@
   RequestId id = 0;  // given by the decision actor
   ClassId class_id = 0;
   TenantId tenant = kNoTenant;
-  Time deadline{0};
+  Time arrived{0}, deadline{0};
   std::shared_ptr<const Payload> payload;
   std::optional<Answer> answer;
   runtime::Notifier answered;
@@ -87,7 +87,11 @@
 using DecisionBox = runtime::Mailbox<DecisionMessage>;
 
 struct WatchNow {};  // the module wants the list watched: no more pausing
-using WatchBox = runtime::Mailbox<WatchNow>;
+struct MoveWatch {   // discovery is elsewhere from now on
+  sockaddr_in address{};
+};
+using WatchMessage = std::variant<WatchNow, MoveWatch>;
+using WatchBox = runtime::Mailbox<WatchMessage>;
 
 // A backend as the decision actor sees it, whatever protocol it speaks.
 class Peer {
--- a/src/proxy/pool_config_actor.cpp
+++ b/src/proxy/pool_config_actor.cpp
@@ -9,6 +9,7 @@
 using net::Io;
 using runtime::Clock;
 using runtime::Task;
+using runtime::TimePoint;
 
 namespace {
 
@@ -29,15 +30,16 @@
 
 Task<> PoolConfigActor::run(DecisionBox& decisions) {
   for (;;) {
-    End end;
+    moved();
+    End end{.address = address_};
     try {
-      end = co_await watch(decisions);
+      co_await watch(decisions, end);
     } catch (const std::exception& error) {
       end.reason = EndReason::kDiscoveryBad;  // guards against dying of what discovery sends
       log_line(std::string("discovery: ") + error.what());
     }
-    log_end("discovery", net::to_string(address_), end.reason, end.lists);
-    while (!inbox_.empty()) inbox_.take();  // orders met by the watch that has ended
+    log_end("discovery", net::to_string(end.address), end.reason, end.lists);
+    if (end.reason == EndReason::kDiscoveryMoved) continue;
     // Jitter: all proxies lose a discovery that fails at the same moment.
     std::uniform_int_distribution<std::int64_t> pause(kLeastPause.count(), kMostPause.count());
     runtime::Wait wait(scheduler_);
@@ -46,30 +48,48 @@
   }
 }
 
-Task<PoolConfigActor::End> PoolConfigActor::watch(DecisionBox& decisions) {
-  End end;
+bool PoolConfigActor::moved() {
+  bool elsewhere = false;
+  while (!inbox_.empty()) {
+    const WatchMessage message = inbox_.take();
+    const auto* move = std::get_if<MoveWatch>(&message);  // an order to watch is met by the watch itself
+    if (!move || net::to_string(move->address) == net::to_string(address_)) continue;
+    address_ = move->address;
+    elsewhere = true;
+  }
+  return elsewhere;
+}
+
+Task<> PoolConfigActor::watch(DecisionBox& decisions, End& end) {
   const auto stream = co_await net::Stream::connect(scheduler_, address_, Clock::now() + kConnectLimit);
   if (!stream) {
     end.reason = EndReason::kConnectFailed;
-    co_return end;
+    co_return;
   }
   const std::string request =
       http::write_request("GET", "/registry/instances?watch=1&from=" + std::to_string(version_),
                           net::to_string(address_), "", "");
-  if (co_await stream->write(request, Clock::now() + kSilence) != Io::kOk) co_return end;
+  if (co_await stream->write(request, Clock::now() + kSilence) != Io::kOk) co_return;
   http::Parser parser(http::Parser::Kind::kResponseHead);
   http::ChunkedDecoder chunked;
   std::string buffer, lines;
+  TimePoint silent = Clock::now() + kSilence;
   for (;;) {
-    const Io io = co_await stream->read(buffer, Clock::now() + kSilence);
+    const Io io = co_await stream->read(buffer, silent, &inbox_.arrived());
+    if (io == Io::kNotified) {
+      if (!moved()) continue;
+      end.reason = EndReason::kDiscoveryMoved;
+      co_return;
+    }
     if (io == Io::kTimeout) end.reason = EndReason::kDiscoverySilent;
-    if (io != Io::kOk) co_return end;
+    if (io != Io::kOk) co_return;
+    silent = Clock::now() + kSilence;
     end.reason = EndReason::kDiscoveryBad;
     http::Progress progress = http::Progress::kMore;
     if (!parser.head_done()) {
       progress = parser.feed(buffer);
       if (progress == http::Progress::kMore) continue;
-      if (progress == http::Progress::kBad || parser.message().status != 200) co_return end;
+      if (progress == http::Progress::kBad || parser.message().status != 200) co_return;
     }
     progress = http::Progress::kMore;
     if (parser.chunked()) {
@@ -77,9 +97,9 @@
     } else {
       lines += std::exchange(buffer, {});
     }
-    if (!take_lines(lines, decisions, end.lists) || progress == http::Progress::kBad) co_return end;
+    if (!take_lines(lines, decisions, end.lists) || progress == http::Progress::kBad) co_return;
     end.reason = EndReason::kDiscoveryEnded;
-    if (progress == http::Progress::kDone) co_return end;
+    if (progress == http::Progress::kDone) co_return;
   }
 }
 
--- a/src/proxy/pool_config_actor.h
+++ b/src/proxy/pool_config_actor.h
@@ -19,8 +19,10 @@
   struct End {
     EndReason reason = EndReason::kDiscoveryEnded;
     std::uint64_t lists = 0;
+    sockaddr_in address{};  // where it was
   };
-  runtime::Task<End> watch(DecisionBox& decisions);
+  runtime::Task<> watch(DecisionBox& decisions, End& end);
+  bool moved();  // takes what is in the mailbox: whether discovery is elsewhere now
   bool take_lines(std::string& lines, DecisionBox& decisions, std::uint64_t& lists);
 
   runtime::Scheduler& scheduler_;
--- a/tests/proxy_rules.cpp
+++ b/tests/proxy_rules.cpp
@@ -195,7 +195,7 @@
        {std::string("garbage\r\n\r\n"), std::string("HTTP/1.1 200 OK\r\nContent-Le"),
         "HTTP/1.1 200 OK\r\n\r\n" + std::string(70000, 'x')}) {
     Wire client = proxy.client();
-    client.send(Proxy::post("a1", "x", 300));
+    client.send(Proxy::post("a" + std::to_string(bytes.size()), "x", 300));
     while (!client.readable(5ms)) {
       if (!backend.pending(0ms)) continue;
       Wire server = backend.accept();
@@ -230,6 +230,32 @@
   assert(proxy.ready() == 200);
 }
 
+// SIGHUP: a faulty file changes nothing; a good one moves the watch at once, from the version held, and a
+// planned end goes on working after it.
+void moves_with_its_configuration() {
+  const Door first, second, elsewhere;
+  Proxy proxy(one_host(first));
+  proxy.reconfigure("nowhere");
+  Wire client = proxy.client();
+  client.send(Proxy::get("a1"));
+  Wire server = first.accept();
+  server.request();
+  server.reply(200, "", "1");
+  expect_status(client, 200);
+  proxy.list("[" + host_json("s-1", first.address(), "terminating") + "]", false);
+  assert(!server.fill());  // told
+  proxy.reconfigure(elsewhere.address());
+  assert(proxy.watch_again(elsewhere).ends_with("from=3"));
+  proxy.list("[" + host_json("s-2", second.address()) + "]", false);
+  client.send(Proxy::get("a2"));
+  Wire other = second.accept();
+  other.request();
+  other.reply(200, "", "2");
+  assert(client.answer().body == "2" && !first.pending(0ms));
+  proxy.signal(SIGTERM);
+  assert(proxy.exit_status() == 0);
+}
+
 // A connection that a backend has closed is not used again: what is written to it would be a reset.
 void drops_stale_connections() {
   const Door backend;
@@ -304,6 +330,7 @@
     {"survives_bad_backends", survives_bad_backends},
     {"survives_bad_discovery", survives_bad_discovery},
     {"leaves_a_silent_discovery", leaves_a_silent_discovery},
+    {"moves_with_its_configuration", moves_with_its_configuration},
     {"drops_stale_connections", drops_stale_connections},
     {"outlives_a_shortage_of_descriptors", outlives_a_shortage_of_descriptors},
     {"ends_in_good_order", ends_in_good_order},
--- a/tests/proxy_test.h
+++ b/tests/proxy_test.h
@@ -138,10 +138,17 @@
     chunk(R"({"seq":)" + std::to_string(++version_) + R"(,"whole":)" + (whole ? "true" : "false") +
           R"(,"hosts":)" + hosts + "}\n");
   }
-  void watch_again() {  // the proxy has come back to discovery
-    watch_ = discovery_.accept();
-    watch_.request();
+  std::string watch_again() { return watch_again(discovery_); }
+  // The proxy has come back to discovery, there; returns what it asks for.
+  std::string watch_again(const Door& discovery) {
+    watch_ = discovery.accept();
+    const std::string target = watch_.request().target;
     watch_.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    return target;
+  }
+  void reconfigure(const std::string& discovery) const {
+    std::ofstream(path_) << config_json("127.0.0.1:0", discovery, "[]");
+    signal(SIGHUP);
   }
   Wire client() const { return Wire::to(address_); }
   static std::string get(const std::string& id, int ms = 3000, const std::string& extra = "") {
@@ -180,7 +187,8 @@
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // a failed test must not leave it running
       ::dup2(out[1], 1);
       ::setenv("GW_CONFIG", path, 1);
-      for (const char* name : {"GW_NAME", "GW_LISTEN", "GW_DISCOVERY"}) ::unsetenv(name);
+      for (const char* name : {"GW_NAME", "GW_LISTEN"}) ::unsetenv(name);
+      ::setenv("GW_DISCOVERY", discovery_.address().c_str(), 1);
       ::execl(PROXY_PROGRAM, PROXY_PROGRAM, nullptr);
       ::_exit(127);
     }
