--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 
 namespace beechhill::http {
 namespace {
@@ -57,6 +56,8 @@
       return "Method Not Allowed";
     case 408:
       return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 413:
       return "Content Too Large";
     case 431:
@@ -82,6 +83,11 @@
   return nullptr;
 }
 
+std::size_t Headers::count(std::string_view name) const {
+  return static_cast<std::size_t>(std::count_if(fields.begin(), fields.end(),
+                                                [&](const auto& field) { return same(field.first, name); }));
+}
+
 bool Headers::has_token(std::string_view name, std::string_view token) const {
   for (const auto& [n, value] : fields) {
     if (!same(n, name)) continue;
@@ -96,6 +102,14 @@
   return minor_version >= 1 || headers.has_token("Connection", "keep-alive");
 }
 
+bool may_begin_request(std::string_view bytes) {
+  while (bytes.starts_with(kLineEnd)) bytes.remove_prefix(kLineEnd.size());
+  const auto fits = [&](std::string_view start) {
+    return bytes.substr(0, start.size()) == start.substr(0, bytes.size());
+  };
+  return fits("GET ") || fits("POST ") || bytes == "\r";
+}
+
 std::optional<std::uint64_t> whole_number(std::string_view text) {
   std::uint64_t value = 0;
   const char* const end = text.data() + text.size();
@@ -104,7 +118,7 @@
   return value;
 }
 
-std::optional<double> load_value(std::string_view report, std::string_view column) {
+std::optional<double> load_value(std::string_view report, std::string_view column, double most) {
   report = trim(report);
   if (report.substr(0, 5) != "TEXT ") return std::nullopt;
   report.remove_prefix(5);
@@ -116,7 +130,7 @@
     double value = 0;
     const auto [stop, error] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
     // Guards against a backend's nonsense reaching the module's averages.
-    if (error != std::errc{} || stop != digits.data() + digits.size() || !std::isfinite(value) || value < 0)
+    if (error != std::errc{} || stop != digits.data() + digits.size() || !(value >= 0 && value <= most))
       return std::nullopt;
     return value;
   }
@@ -131,20 +145,29 @@
 }
 
 Progress ChunkedDecoder::feed(std::string& buffer, std::string& body) {
+  std::size_t used = 0;
+  const Progress progress = decode(buffer, used, body);
+  buffer.erase(0, used);  // once: an erase for each tiny chunk would be quadratic
+  return progress;
+}
+
+Progress ChunkedDecoder::decode(std::string_view buffer, std::size_t& used, std::string& body) {
   for (;;) {
     if (state_ == State::kData) {
-      const std::size_t n = std::min(left_, buffer.size());
-      body.append(buffer, 0, n);
-      buffer.erase(0, n);
+      const std::size_t n = std::min(left_, buffer.size() - used);
+      body.append(buffer.substr(used, n));
+      used += n;
       left_ -= n;
       if (left_ > 0) return Progress::kMore;
       state_ = State::kDataEnd;
       continue;
     }
-    const auto end = buffer.find(kLineEnd);
-    if (end == std::string::npos) return buffer.size() > kMaxChunkLine ? Progress::kBad : Progress::kMore;
-    const std::string line = buffer.substr(0, end);
-    buffer.erase(0, end + kLineEnd.size());
+    const auto end = buffer.find(kLineEnd, used);
+    if (end == std::string_view::npos)
+      return buffer.size() - used > kMaxChunkLine ? Progress::kBad : Progress::kMore;
+    const std::string_view line = buffer.substr(used, end - used);
+    used = end + kLineEnd.size();
+    if (line.size() > kMaxChunkLine) return Progress::kBad;
     if (state_ == State::kDataEnd) {
       if (!line.empty()) return Progress::kBad;
       state_ = State::kSize;
@@ -152,7 +175,7 @@
       if (line.empty()) return Progress::kDone;
       if ((trailer_ += line.size()) > kMaxHead) return Progress::kBad;
     } else {
-      const std::string digits(trim(std::string_view(line).substr(0, line.find(';'))));
+      const std::string_view digits = trim(line.substr(0, line.find(';')));
       std::uint32_t size = 0;
       const auto [stop, error] = std::from_chars(digits.data(), digits.data() + digits.size(), size, 16);
       if (digits.empty() || error != std::errc{} || stop != digits.data() + digits.size())
@@ -181,12 +204,24 @@
   return bad(400);
 }
 
+// Takes the blank lines before a request away. False: there are too many.
+bool Parser::skip_blank(std::string& buffer) {
+  std::size_t n = 0;
+  while (std::string_view(buffer).substr(n).starts_with(kLineEnd)) n += kLineEnd.size();
+  buffer.erase(0, n);
+  return (blank_ += n) <= kMaxBlank;
+}
+
 Progress Parser::feed_head(std::string& buffer) {
   for (;;) {
-    while (kind_ == Kind::kRequest && buffer.starts_with(kLineEnd)) buffer.erase(0, kLineEnd.size());
-    const auto end = buffer.find("\r\n\r\n");
+    if (kind_ == Kind::kRequest && scanned_ == 0 && !skip_blank(buffer)) return bad(400);
+    const auto end = buffer.find("\r\n\r\n", scanned_);
     if (end == std::string::npos ? buffer.size() > kMaxHead : end > kMaxHead) return bad(431);
-    if (end == std::string::npos) return Progress::kMore;
+    if (end == std::string::npos) {
+      scanned_ = buffer.size() - std::min<std::size_t>(buffer.size(), 3);  // the end may be cut in two
+      return Progress::kMore;
+    }
+    scanned_ = 0;
     const std::string head = buffer.substr(0, end);
     buffer.erase(0, end + 4);
     message_ = {};
@@ -198,6 +233,7 @@
       from = stop + kLineEnd.size();
     }
     const bool interim = kind_ != Kind::kRequest && message_.status < 200;
+    if (interim && ++interim_ > kMaxInterim) return bad(431);
     if (interim) continue;  // a 100 precedes the real one
     return framing() ? Progress::kDone : Progress::kBad;
   }
@@ -211,7 +247,8 @@
     message_.method = line.substr(0, first);
     message_.target = line.substr(first + 1, last - first - 1);
     version = line.substr(last + 1);
-    if (!is_token(message_.method) || message_.target[0] != '/' || !printable(message_.target, false))
+    if (!is_token(message_.method) || message_.target[0] != '/' || !printable(message_.target, false) ||
+        std::any_of(message_.target.begin(), message_.target.end(), [](char c) { return c & 0x80; }))
       return false;
   } else {
     const std::string_view code = line.size() >= 12 ? line.substr(9, 3) : std::string_view{};
@@ -230,7 +267,11 @@
   const auto colon = line.find(':');
   if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) return false;
   const std::string_view value = trim(line.substr(colon + 1));
-  if (!printable(value, true)) return false;
+  if (!printable(value, true)) {
+    // Guards against losing a good answer to a load report that cannot be read; framing must be readable.
+    const std::string_view name = line.substr(0, colon);
+    return kind_ != Kind::kRequest && !same(name, "Content-Length") && !same(name, "Transfer-Encoding");
+  }
   message_.headers.fields.emplace_back(line.substr(0, colon), value);
   return true;
 }
@@ -244,7 +285,7 @@
       encoding = &value;
     } else if (same(name, "Content-Length")) {
       const auto stated = whole_number(value);
-      if (!stated || (length && *length != *stated)) return false;
+      if (!stated || length) return false;
       length = stated;
     }
   }
@@ -252,8 +293,11 @@
   if (length && *length > kMaxBody) return bad(413), false;
   body_ = Body::kLength;
   if (encoding) body_ = Body::kChunked;
-  if (!encoding && !length && kind_ != Kind::kRequest && message_.status != 204 && message_.status != 304)
+  if (!encoding && !length && kind_ != Kind::kRequest && message_.status != 204 && message_.status != 304) {
+    if (kind_ == Kind::kResponse)
+      return false;  // guards against a cut body: only a stated end proves it whole
     body_ = Body::kUntilEnd;
+  }
   left_ = length.value_or(0);
   return true;
 }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -13,11 +13,14 @@
 
 inline constexpr std::size_t kMaxHead = 16 * 1024;
 inline constexpr std::size_t kMaxBody = 64 * 1024;
+inline constexpr std::size_t kMaxBlank = 64;   // bytes of blank lines before a request
+inline constexpr std::size_t kMaxInterim = 8;  // 1xx answers before the real one
 
 struct Headers {
   std::vector<std::pair<std::string, std::string>> fields;
   // The first field of that name, in any case of letters.
   const std::string* find(std::string_view name) const;
+  std::size_t count(std::string_view name) const;
   // Whether a comma-separated field holds this token.
   bool has_token(std::string_view name, std::string_view token) const;
 };
@@ -40,6 +43,7 @@
   Progress feed(std::string& buffer, std::string& body);
 
  private:
+  Progress decode(std::string_view buffer, std::size_t& used, std::string& body);
   enum class State { kSize, kData, kDataEnd, kTrailer };
   State state_ = State::kSize;
   std::size_t left_ = 0, trailer_ = 0;
@@ -66,12 +70,14 @@
   Progress feed_body(std::string& buffer);
   bool start_line(std::string_view line);
   bool header_line(std::string_view line);
+  bool skip_blank(std::string& buffer);
   bool framing();
 
   Kind kind_;
   Message message_;
   Body body_ = Body::kUnknown;
   std::size_t left_ = 0;
+  std::size_t scanned_ = 0, blank_ = 0, interim_ = 0;  // of the head so far
   ChunkedDecoder chunked_;
   int error_status_ = 400;
 };
@@ -81,11 +87,16 @@
 std::string write_request(std::string_view method, std::string_view target, std::string_view host,
                           std::string_view extra, std::string_view body);
 
+// Whether a request may begin like this, however little there is of it: what else follows a request shows
+// that its length was wrong.
+bool may_begin_request(std::string_view bytes);
+
 // Whole digits only; nothing where that is not a number or does not fit.
 std::optional<std::uint64_t> whole_number(std::string_view text);
 
-// The value of `column` in a load report: "TEXT inflight=7, util=0.61".
-std::optional<double> load_value(std::string_view report, std::string_view column);
+// The value of `column` in a load report: "TEXT inflight=7, util=0.61". Nothing where it is not one from 0 to
+// `most`: what cannot be true would outweigh all others in an average.
+std::optional<double> load_value(std::string_view report, std::string_view column, double most);
 
 // A span as `Retry-After` carries it: decimal seconds.
 std::string retry_after(std::chrono::microseconds span);
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -12,6 +12,7 @@
 
 namespace beechhill::net {
 
+using runtime::Clock;
 using runtime::Task;
 using runtime::TimePoint;
 using runtime::Wait;
@@ -20,6 +21,8 @@
 namespace {
 
 constexpr std::size_t kReadSize = 16 * 1024;
+constexpr std::size_t kDiscardSize = 1024 * 1024;
+constexpr std::size_t kTurn = 64 * 1024;  // bytes that one stream may read before the others have theirs
 
 bool would_block() { return errno == EAGAIN || errno == EWOULDBLOCK; }
 
@@ -93,21 +96,38 @@
   for (;;) {
     const ssize_t n = ::recv(fd_.get(), chunk.data(), chunk.size(), 0);
     if (n > 0) buffer.append(chunk.data(), static_cast<std::size_t>(n));
+    if (n > 0) turn_ += static_cast<std::size_t>(n);
     if (n >= 0) return n > 0 ? Io::kOk : Io::kEof;
     if (errno == EINTR) continue;
     return would_block() ? std::nullopt : std::optional(Io::kError);
   }
 }
 
-Task<Io> Stream::read(std::string& buffer, TimePoint deadline, runtime::Notifier* notifier) {
+std::optional<Io> Stream::discard_now() {
   for (;;) {
+    const ssize_t n = ::recv(fd_.get(), nullptr, kDiscardSize, MSG_TRUNC);  // TCP drops them uncopied
+    if (n >= 0) return n > 0 ? Io::kOk : Io::kEof;
+    if (errno == EINTR) continue;
+    return would_block() ? std::nullopt : std::optional(Io::kError);
+  }
+}
+
+Task<Io> Stream::read(std::string& buffer, TimePoint deadline, runtime::Notifier* notifier) {
+  if (std::exchange(turn_, turn_ < kTurn ? turn_ : 0) >= kTurn) {
+    Wait others(scheduler_);
+    others.until(Clock::now());
+    co_await others;
+  }
+  for (bool late = false;;) {
     if (const auto io = read_now(buffer)) co_return *io;
+    if (late) co_return Io::kTimeout;
+    turn_ = 0;
     Wait wait(scheduler_);
     wait.readable(io_).until(deadline);
     if (notifier) wait.notified(*notifier);
     const Wake wake = co_await wait;
-    if (wake == Wake::kTime) co_return Io::kTimeout;
     if (wake == Wake::kNotified) co_return Io::kNotified;
+    late = wake == Wake::kTime;  // guards against a time-out with bytes there, the program having been slow
   }
 }
 
@@ -134,13 +154,16 @@
 
 void Stream::end_sending() { ::shutdown(fd_.get(), SHUT_WR); }
 
-Task<> Stream::linger(TimePoint deadline) {
+Task<> Stream::linger(TimePoint deadline, runtime::Notifier& notifier) {
   end_sending();
-  std::string ignored;
-  Io io = Io::kOk;
-  while (io == Io::kOk) {
-    ignored.clear();
-    io = co_await read(ignored, deadline);
+  for (;;) {
+    const auto io = discard_now();
+    if (io && *io != Io::kOk) co_return;
+    Wait wait(scheduler_);
+    wait.until(io ? Clock::now() : deadline).notified(notifier);  // others have a turn after each part
+    if (!io) wait.readable(io_);
+    const Wake wake = co_await wait;
+    if (wake == Wake::kNotified || Clock::now() >= deadline) co_return;
   }
 }
 
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -50,16 +50,19 @@
   runtime::Task<Io> write(std::string_view bytes, runtime::TimePoint deadline);
   // Reads without waiting: true when the peer has ended, or sent what nobody asked for.
   bool stale();
-  // Tells the peer that no more comes, then reads until it ends too: a reset must not destroy an answer.
-  runtime::Task<> linger(runtime::TimePoint deadline);
+  // Tells the peer that no more comes, then reads until it ends too, or the notifier calls: a reset must not
+  // destroy an answer.
+  runtime::Task<> linger(runtime::TimePoint deadline, runtime::Notifier& notifier);
   void end_sending();
 
  private:
   std::optional<Io> read_now(std::string& buffer);
+  std::optional<Io> discard_now();
 
   runtime::Scheduler& scheduler_;
   Fd fd_;
   runtime::IoSource io_;
+  std::size_t turn_ = 0;  // bytes read since it last waited
 };
 
 // Listens on one address.
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -96,6 +96,7 @@
   if (it == entries_.end()) return;
   Entry& entry = it->second;
   --entry.out;
+  if (done.result != Result::kConnectFailed && done.result != Result::kMoot) entry.written = true;
   if (done.result == Result::kOk && !entry.over) end(entry, std::move(done.reply));
   const Outcome outcome{done.operation, done.attempt, done.result, entry.over, done.report};
   drive(outcome);
@@ -111,7 +112,13 @@
 
 void DecisionActor::tidy(RequestId id) {
   const auto it = entries_.find(id);
-  if (it != entries_.end() && it->second.over && it->second.out == 0) entries_.erase(it);
+  if (it == entries_.end() || !it->second.over || it->second.out > 0) return;
+  const std::vector<ServerId> servers = std::move(it->second.servers);
+  entries_.erase(it);
+  for (ServerId server : servers) {
+    --backends_[server].used;
+    let_go(server);
+  }
 }
 
 void DecisionActor::act(const Send& a) {
@@ -119,14 +126,19 @@
   if (it == entries_.end()) return;
   Entry& entry = it->second;
   const Operation& op = *entry.operation;
-  RouteStep step{a.id, static_cast<std::uint32_t>(entry.servers.size()), op.deadline, op.payload};
+  RouteStep step{a.id, static_cast<std::uint32_t>(entry.servers.size()), op.deadline, op.deadline,
+                 op.payload};
+  // Past half of its time a client is better told that nothing was sent than kept waiting for a connection.
+  if (!entry.written && entry.out == 0) step.connect_by = op.arrived + (op.deadline - op.arrived) * 9 / 20;
   if (a.time_out > Duration{0}) step.deadline = std::min(step.deadline, now() + a.time_out);
   entry.servers.push_back(a.server);
   ++entry.out;
+  Backend& backend = backends_[a.server];
+  ++backend.used;
   Result never = Result::kOk;
   if (entry.over || step.deadline <= now() || entry.servers.size() > most_tries_) {
     never = Result::kMoot;
-  } else if (states_[a.server] != ServerState::kUp || !peers_[a.server]->post(RouteStep(step))) {
+  } else if (backend.state != ServerState::kUp || !backend.peer->post(RouteStep(step))) {
     never = Result::kConnectFailed;
   }
   if (never != Result::kOk) own_.push_back(StepDone{a.id, step.attempt, never, {}, {}});
@@ -135,7 +147,7 @@
 void DecisionActor::act(const Cancel& a) {
   const auto it = entries_.find(a.id);
   if (it == entries_.end() || a.attempt >= it->second.servers.size()) return;
-  if (!peers_[it->second.servers[a.attempt]]->post(CancelStep{a.id, a.attempt}))
+  if (!backends_[it->second.servers[a.attempt]].peer->post(CancelStep{a.id, a.attempt}))
     log_line("a full mailbox lost a cancel");
 }
 
@@ -159,8 +171,9 @@
 void DecisionActor::take_list(const config::PoolConfig& pool, ListKind kind) {
   Discovery discovery{kind, {}};
   const Time told = now();
-  std::vector<bool> named(peers_.size(), false);
+  std::vector<bool> named(backends_.size(), false);
   for (const config::PoolEntry& row : pool.entries) {
+    if (row.state == ServerState::kRemoved && !servers_.known(row.host)) continue;  // let go already
     ServerEntry e;
     e.server = servers_.id(row.host);
     e.state = row.state;
@@ -168,30 +181,43 @@
     e.kind = kinds_.id(row.kind);
     e.cell = row.cell;
     if (row.born.count() > 0) e.born = std::chrono::duration_cast<Time>(row.born) - unix_offset_;
-    if (e.server >= peers_.size()) {
-      peers_.push_back(make_peer_(inbox_, e.server, row.address));
-      states_.push_back(ServerState::kRemoved);
-    }
-    named.resize(peers_.size(), false);
+    if (e.server >= backends_.size()) backends_.emplace_back();
+    if (!backends_[e.server].peer) backends_[e.server].peer = make_peer_(inbox_, e.server, row.address);
+    named.resize(backends_.size(), false);
     named[e.server] = true;
     tell(e.server, PeerStatus{row.state, told, row.address});
     discovery.entries.push_back(e);
   }
   if (kind != ListKind::kChanges)
     for (ServerId id = 0; id < named.size(); ++id)
-      if (!named[id]) tell(id, PeerStatus{ServerState::kRemoved, told, {}});
+      if (!named[id] && backends_[id].peer) tell(id, PeerStatus{ServerState::kRemoved, told, {}});
   drive(discovery);
+  for (ServerId id = 0; id < backends_.size(); ++id) let_go(id);
 }
 
 void DecisionActor::tell(ServerId server, PeerStatus status) {
-  states_[server] = status.state;
-  if (!peers_[server]->post(status)) log_line("a full mailbox lost a peer's status");
+  backends_[server].state = status.state;
+  if (!backends_[server].peer->post(status)) log_line("a full mailbox lost a peer's status");
 }
 
-void DecisionActor::on(ProbeDone& done) { drive(ProbeResult{done.server, done.result, done.report}); }
+// Frees what belongs to a backend that is gone, once nothing refers to it: days are long, and backends many.
+void DecisionActor::let_go(ServerId server) {
+  Backend& backend = backends_[server];
+  if (!backend.peer || backend.state != ServerState::kRemoved || backend.used > 0) return;
+  backend.peer.reset();
+  servers_.forget(server);
+}
+
+void DecisionActor::on(ProbeDone& done) {
+  drive(ProbeResult{done.server, done.result, done.report});
+  --backends_[done.server].used;
+  let_go(done.server);
+}
 
 void DecisionActor::act(const Probe& a) {
-  if (!peers_[a.server]->post(ProbePeer{})) own_.push_back(ProbeDone{a.server, Result::kConnectFailed, {}});
+  ++backends_[a.server].used;
+  if (!backends_[a.server].peer->post(ProbePeer{}))
+    own_.push_back(ProbeDone{a.server, Result::kConnectFailed, {}});
 }
 
 void DecisionActor::act(const Watch&) {
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -30,6 +30,13 @@
     std::vector<ServerId> servers;  // by attempt
     int out = 0;                    // attempts without an outcome
     bool over = false;
+    bool written = false;  // an attempt has reached a backend whole, or may have
+  };
+
+  struct Backend {
+    std::unique_ptr<Peer> peer;                 // none: that number is free
+    ServerState state = ServerState::kRemoved;  // as last told
+    std::size_t used = 0;                       // operations' attempts and probes that refer to it
   };
 
   void drive(const Event& event);
@@ -44,6 +51,7 @@
   void on(config::PoolConfig& pool);
   void take_list(const config::PoolConfig& pool, ListKind kind);
   void tell(ServerId server, PeerStatus status);
+  void let_go(ServerId server);
 
   void act(const Send& a);
   void act(const Cancel& a);
@@ -62,8 +70,7 @@
   Time unix_offset_;  // Unix time less the module's clock
   bool has_list_ = false;
   config::Interner servers_, zones_, kinds_;
-  std::vector<std::unique_ptr<Peer>> peers_;  // by ServerId
-  std::vector<ServerState> states_;           // by ServerId, as last told
+  std::vector<Backend> backends_;  // by ServerId
   std::unordered_map<RequestId, Entry> entries_;
   std::multimap<Time, TimerToken> timers_;
   std::vector<Action> actions_;
--- a/src/proxy/front_socket.cpp
+++ b/src/proxy/front_socket.cpp
@@ -1,6 +1,7 @@
 #include "proxy/front_socket.h"
 
 #include <algorithm>
+#include <array>
 #include <system_error>
 #include <utility>
 
@@ -14,20 +15,27 @@
 
 namespace {
 
-constexpr auto kIdleLimit = 120s;          // between a client's requests
-constexpr auto kRequestLimit = 10s;        // for a request to arrive, from its first byte
+constexpr auto kIdleLimit = 10s;           // between a client's requests
+constexpr auto kSilentLimit = 1s;          // for a new client's first byte
+constexpr auto kRequestLimit = 1s;         // for a request to arrive, from its first byte
+constexpr auto kSilentAge = 30ms;          // when descriptors are short: a usual client has spoken by then
+constexpr auto kHalfSpokenAge = 500ms;     // the same, for the rest of its request
 constexpr auto kWriteLimit = 5s;           // for a client to take its answer
 constexpr auto kLingerLimit = 1s;          // for a client to close after the last answer
 constexpr auto kAcceptPause = 20ms;        // when descriptors are short
 constexpr auto kAcceptCheck = 200ms;       // how often the door looks whether it is to close
 constexpr auto kAcceptAfterTerm = 1000ms;  // callers hear of a planned end only some time after it began
 constexpr Duration kOverdue = 10ms;        // after the deadline, when the module has not answered
-constexpr std::uint64_t kLongestWaitMs = 3'600'000;
+constexpr Duration kIdKept = 1s;           // after its deadline, when nothing of a request is out any more
+constexpr std::size_t kMostIds = 32 * 1024;
+constexpr std::size_t kLongestId = 128;
+constexpr std::size_t kAcceptTurn = 32;  // connections taken before others have their turn
 constexpr std::size_t kMaxEarly = http::kMaxHead + http::kMaxBody;  // bytes of the next request, kept
 
 class HttpPayload : public Payload {
  public:
   explicit HttpPayload(http::Message&& request) : request_(std::move(request)) {}
+  std::string_view id() const override { return *request_.headers.find("X-Trace-Id"); }
   std::string encode(const std::string& host, Duration left) const override {
     const auto ms = std::max<std::int64_t>(1, std::chrono::floor<std::chrono::milliseconds>(left).count());
     std::string headers = "X-Expires-In-Ms: " + std::to_string(ms) + "\r\n";
@@ -69,7 +77,12 @@
 }  // namespace
 
 Task<> FrontDoor::run() {
-  while (!closing_) {
+  for (std::size_t taken = 1; !closing_; ++taken) {
+    if (taken % kAcceptTurn == 0 || !budget_.room()) {  // those taken have spoken, if ever, after their turn
+      runtime::Wait others(scheduler_);
+      others.until(Clock::now());
+      co_await others;
+    }
     // Stops accepting when descriptors are short: the backlog holds clients until one is free.
     if (!budget_.room()) {
       evict();
@@ -96,11 +109,28 @@
   listener_.reset();  // from here on clients are refused, not left waiting
 }
 
+// Closes one front socket that nothing is owed: of those longest in their phase one that never spoke, else
+// one that lingers, else one between requests, else one that has stopped amid its first request. While one is
+// too young to be called silent, those between requests are spared: silent crowds must not drive usual
+// clients out.
 void FrontDoor::evict() {
+  using Phase = FrontSocket::Phase;
+  const TimePoint now = Clock::now();
+  std::array<FrontSocket*, 4> longest{};
+  bool young = false;
   for (FrontSocket* socket : sockets_) {
-    if (!socket->idle()) continue;
-    return socket->ask_to_close(EndReason::kEvicted);  // its place is free once it has closed
+    const auto age = now - socket->since();
+    const Phase phase = socket->phase();
+    if (phase == Phase::kBusy) continue;
+    young = young || (phase == Phase::kSilent && age < kSilentAge);
+    if ((phase == Phase::kSilent && age < kSilentAge) || (phase == Phase::kReading && age < kHalfSpokenAge))
+      continue;
+    auto*& first = longest[static_cast<std::size_t>(phase)];
+    if (!first || socket->since() < first->since()) first = socket;
   }
+  if (young) longest[static_cast<std::size_t>(Phase::kKept)] = nullptr;
+  for (FrontSocket* socket : longest)
+    if (socket) return socket->ask_to_close(EndReason::kEvicted);  // its place is free once it has closed
 }
 
 Task<> FrontDoor::drain() {
@@ -111,22 +141,30 @@
   closing_ = true;
   while (!sockets_.empty()) {
     for (FrontSocket* socket : sockets_)
-      if (socket->idle()) socket->ask_to_close(EndReason::kDraining);
+      if (socket->phase() == FrontSocket::Phase::kKept || socket->phase() == FrontSocket::Phase::kSilent)
+        socket->ask_to_close(EndReason::kDraining);
     runtime::Wait pause(scheduler_);
     pause.until(Clock::now() + kAcceptPause);
     co_await pause;
   }
 }
 
-FrontDoor::Target FrontDoor::target_of(http::Message& request) const {
+// Strict: nothing doubtful reaches a backend. A header may be absent where a default stands for it; one that
+// is there must be understood, and stand there once.
+FrontDoor::Target FrontDoor::target_of(http::Message& request) {
   const auto& headers = request.headers;
   const std::string path = request.target.substr(1, request.target.find_first_of("/?", 1) - 1);
   const auto class_id = classes_.known(path);
   if (!class_id) return {404, nullptr};
   const ClassSettings& settings = config_.named.settings.classes[*class_id];
-  // What a header states must be understood, else 400; an absent one takes its default.
-  if (request.method != "GET" && request.method != "POST") return {405, nullptr};
-  if (!headers.find("X-Trace-Id")) return {400, nullptr};
+  const bool safe = settings.effect == Effect::kRepeatable;
+  if (request.method != (safe ? "GET" : "POST")) return {405, nullptr};
+  if (safe && (!request.body.empty() || headers.find("Transfer-Encoding"))) return {400, nullptr};
+  for (const char* name : {"Host", "X-Trace-Id", "X-Customer", "X-Expires-In-Ms", "Idempotency-Key"})
+    if (const std::string* value = headers.find(name); value && (value->empty() || headers.count(name) > 1))
+      return {400, nullptr};
+  const std::string* trace = headers.find("X-Trace-Id");
+  if (!trace || trace->size() > kLongestId) return {400, nullptr};
   if (settings.effect == Effect::kKeyed && !headers.find("Idempotency-Key")) return {400, nullptr};
   auto operation = std::make_shared<Operation>();
   operation->class_id = *class_id;
@@ -138,14 +176,27 @@
   Duration wait = settings.deadline;
   if (const std::string* text = headers.find("X-Expires-In-Ms")) {
     const auto ms = http::whole_number(*text);
-    if (!ms) return {400, nullptr};
-    wait = std::chrono::milliseconds(std::min(*ms, kLongestWaitMs));
+    if (!ms || *ms == 0) return {400, nullptr};
+    const auto longest = std::chrono::ceil<std::chrono::milliseconds>(settings.deadline).count();
+    wait = std::chrono::milliseconds(std::min(*ms, static_cast<std::uint64_t>(longest)));
   }
-  operation->deadline = now() + wait;
+  operation->arrived = now();
+  operation->deadline = operation->arrived + wait;
+  if (!ids_.take(*trace, operation->arrived, operation->deadline + kIdKept)) return {409, nullptr};
   operation->payload = std::make_shared<const HttpPayload>(std::move(request));
   return {0, std::move(operation)};
 }
 
+bool OpenIds::take(const std::string& id, Time now, Time until) {
+  while (!by_time_.empty() && (by_time_.begin()->first <= now || by_time_.size() >= kMostIds)) {
+    ids_.erase(by_time_.begin()->second);
+    by_time_.erase(by_time_.begin());
+  }
+  const bool fresh = ids_.insert(id).second;
+  if (fresh) by_time_.emplace(until, id);
+  return fresh;
+}
+
 // ---- One connection
 
 FrontSocket::FrontSocket(FrontDoor& door, net::Fd fd, const sockaddr_in& from)
@@ -167,6 +218,11 @@
   wake_.notify();
 }
 
+void FrontSocket::enter(Phase phase) {
+  phase_ = phase;
+  since_ = Clock::now();
+}
+
 Task<> FrontSocket::serve() {
   for (;;) {
     http::Parser parser(http::Parser::Kind::kRequest);
@@ -175,39 +231,62 @@
     if (got == Got::kEnd && reason_ != EndReason::kDraining) co_return;
     if (got == Got::kEnd) break;
     if (got == Got::kBad) {
-      const std::string bytes = http::write_response(parser.error_status(), "", "", true);
-      co_await reply(bytes, true);
-      reason_ = EndReason::kBadRequest;
+      co_await turn_away(parser.error_status(), EndReason::kBadRequest);
+      break;
+    }
+    if (got == Got::kHalf) {
+      co_await turn_away(408, EndReason::kReadTimeout);
       break;
     }
     const bool open = co_await answer_request(parser.message());
     if (!open) break;
   }
+  enter(Phase::kLingering);
   // Guards against a reset that destroys an answer still on its way.
-  co_await stream_.linger(Clock::now() + kLingerLimit);
+  if (!asked_ || asked_reason_ != EndReason::kEvicted)
+    co_await stream_.linger(Clock::now() + kLingerLimit, wake_);
+}
+
+Task<> FrontSocket::turn_away(int status, EndReason reason) {
+  const std::string bytes = http::write_response(status, "", "", true);
+  co_await reply(bytes, true);
+  reason_ = reason;
 }
 
 Task<FrontSocket::Got> FrontSocket::read_request(http::Parser& parser) {
   http::Progress progress = parser.feed(buffer_);
-  TimePoint deadline = Clock::now() + kIdleLimit;
-  idle_ = progress == http::Progress::kMore && buffer_.empty() && !parser.head_done();
-  if (idle_) door_.sockets_.splice(door_.sockets_.end(), door_.sockets_, place_);
+  const bool begun = progress != http::Progress::kMore || !buffer_.empty() || parser.head_done();
+  enter(begun ? Phase::kReading : operations_ == 0 && !probed_ ? Phase::kSilent : Phase::kKept);
+  TimePoint deadline = since_ + (begun                      ? kRequestLimit
+                                 : phase_ == Phase::kSilent ? kSilentLimit
+                                                            : kIdleLimit);
   while (progress == http::Progress::kMore) {
     // Asked to close: a last look for a request that has come, without waiting for one.
-    const TimePoint until = idle_ && asked_ ? Clock::now() : deadline;
+    const bool idle = phase_ != Phase::kReading;
+    const TimePoint until =
+        asked_ && (idle || asked_reason_ == EndReason::kEvicted) ? Clock::now() : deadline;
     const Io io = co_await stream_.read(buffer_, until, &wake_);
     if (io == Io::kNotified) continue;
-    if (io == Io::kTimeout || io == Io::kEof || io == Io::kError) {
+    if (io == Io::kTimeout && !idle && !asked_) {
+      enter(Phase::kBusy);
+      co_return Got::kHalf;
+    }
+    if (io != Io::kOk) {
       reason_ = io != Io::kTimeout ? EndReason::kClientClosed
                 : asked_           ? asked_reason_
                                    : EndReason::kReadTimeout;
-      idle_ = false;  // no longer one to ask
+      enter(Phase::kBusy);  // no longer one to ask
       co_return Got::kEnd;
     }
-    if (std::exchange(idle_, false)) deadline = Clock::now() + kRequestLimit;
+    if (idle) {
+      enter(Phase::kReading);
+      deadline = since_ + kRequestLimit;
+    }
     progress = parser.feed(buffer_);
   }
-  idle_ = false;
+  enter(Phase::kBusy);
+  // Guards against a request whose length is wrong: what follows it is no request.
+  if (progress == http::Progress::kDone && !http::may_begin_request(buffer_)) co_return Got::kBad;
   co_return progress == http::Progress::kDone ? Got::kRequest : Got::kBad;
 }
 
@@ -219,14 +298,13 @@
 Task<bool> FrontSocket::answer_request(http::Message& request) {
   bool close = closes(request);
   if (request.method == "GET" && request.target == "/health/ready") {
+    probed_ = true;
     const std::string bytes = http::write_response(door_.ready() ? 200 : 503, "", "", close);
     co_return co_await reply(bytes, close);
   }
   FrontDoor::Target target = door_.target_of(request);
   if (target.error != 0) {
-    const std::string bytes = http::write_response(target.error, "", "", true);
-    co_await reply(bytes, true);
-    reason_ = EndReason::kBadRequest;
+    co_await turn_away(target.error, EndReason::kBadRequest);
     co_return false;
   }
   ++operations_;
@@ -265,13 +343,16 @@
       wait.notified(operation->answered).until(overdue);
       if (co_await wait == runtime::Wake::kTime) io = Io::kTimeout;
     }
-    if (operation->answer || io == Io::kOk || io == Io::kNotified) continue;
+    if (operation->answer || io == Io::kNotified) continue;
+    const bool spoilt = io == Io::kOk && !http::may_begin_request(buffer_);  // its length was wrong
+    if (io == Io::kOk && !spoilt) continue;
     // Gone, or never decided: an unforeseen failure, and something may have run.
     if (io == Io::kTimeout) operation->answer = Failed{};
     DecisionMessage left(Left{operation});
     if (!door_.decisions_.post(std::move(left))) log_line("a full mailbox lost a client's end");
     if (io == Io::kTimeout) break;
-    reason_ = EndReason::kClientGone;
+    if (spoilt) co_await turn_away(400, EndReason::kBadRequest);
+    if (!spoilt) reason_ = EndReason::kClientGone;
     co_return false;
   }
   co_return true;
--- a/src/proxy/front_socket.h
+++ b/src/proxy/front_socket.h
@@ -3,8 +3,10 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <string>
+#include <unordered_set>
 
 #include "config/interner.h"
 #include "http/message.h"
@@ -17,6 +19,17 @@
 
 class FrontSocket;
 
+// The ids of requests that are open, or were a moment ago.
+class OpenIds {
+ public:
+  // False where that id is taken. It is kept until then: what was sent for it is over by its deadline.
+  bool take(const std::string& id, Time now, Time until);
+
+ private:
+  std::unordered_set<std::string> ids_;
+  std::multimap<Time, std::string> by_time_;
+};
+
 class FrontDoor {
  public:
   FrontDoor(runtime::Scheduler& scheduler, DecisionBox& decisions, const config::Config& config,
@@ -32,7 +45,7 @@
     int error = 0;
     std::shared_ptr<Operation> operation;
   };
-  Target target_of(http::Message& request) const;
+  Target target_of(http::Message& request);
   bool ready() const { return !draining_ && has_list_(); }
   void evict();
 
@@ -43,7 +56,8 @@
   FdBudget budget_;
   std::function<bool()> has_list_;
   std::unique_ptr<net::Listener> listener_;
-  std::list<FrontSocket*> sockets_;  // open ones; those that were idle longest first
+  OpenIds ids_;
+  std::list<FrontSocket*> sockets_;  // open ones
   runtime::Notifier left_;           // one of them ended
   bool draining_ = false, closing_ = false;
 };
@@ -56,12 +70,16 @@
   FrontSocket(const FrontSocket&) = delete;
   FrontSocket& operator=(const FrontSocket&) = delete;
 
+  enum class Phase { kSilent, kLingering, kKept, kReading, kBusy };  // the first to be evicted first
   runtime::Task<> serve();
-  bool idle() const { return idle_; }
+  Phase phase() const { return asked_ ? Phase::kBusy : phase_; }
+  runtime::TimePoint since() const { return since_; }
   void ask_to_close(EndReason reason);
 
  private:
-  enum class Got { kRequest, kBad, kEnd };
+  enum class Got { kRequest, kBad, kHalf, kEnd };
+  void enter(Phase phase);
+  runtime::Task<> turn_away(int status, EndReason reason);
   runtime::Task<Got> read_request(http::Parser& parser);
   runtime::Task<bool> answer_request(http::Message& request);
   runtime::Task<bool> await_answer(const std::shared_ptr<Operation>& operation);
@@ -74,7 +92,9 @@
   net::Stream stream_;
   std::string buffer_;  // bytes read and not yet used: the next request may come early
   runtime::Notifier wake_;
-  bool idle_ = true, asked_ = false;
+  bool asked_ = false, probed_ = false;
+  Phase phase_ = Phase::kSilent;
+  runtime::TimePoint since_ = runtime::Clock::now();  // when the phase began
   EndReason asked_reason_ = EndReason::kEvicted;
   EndReason reason_ = EndReason::kFault;
   std::uint64_t operations_ = 0;
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 
 #include "beechhill/balancer.h"
@@ -24,6 +25,8 @@
   virtual ~Payload() = default;
   // All bytes of it; `left` is how long the proxy will wait.
   virtual std::string encode(const std::string& host, Duration left) const = 0;
+  // What the request is called; a backend may begin its answer with it.
+  virtual std::string_view id() const { return {}; }
 };
 
 struct Reply {  // a backend's answer to pass on
@@ -50,7 +53,8 @@
 struct RouteStep {  // one attempt
   RequestId operation = 0;
   std::uint32_t attempt = 0;
-  Time deadline{0};  // when the proxy stops waiting
+  Time connect_by{0};  // a connection not up by then has failed
+  Time deadline{0};    // when the proxy stops waiting
   std::shared_ptr<const Payload> payload;
 };
 struct CancelStep {
--- a/src/proxy/peer_actor.cpp
+++ b/src/proxy/peer_actor.cpp
@@ -1,6 +1,7 @@
 #include "proxy/peer_actor.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "http/message.h"
 
@@ -18,7 +19,11 @@
 constexpr std::size_t kStepsQueued = 1024;  // the rest of the inbox is for cancels and news of the backend
 constexpr int kIdleShare = 2;               // of idle-close, a connection is kept idle for one part
 constexpr auto kSweepEvery = 1s;
+constexpr auto kSettling = 5ms;  // after an answer
 constexpr Duration kProbeLimit = 500ms;
+constexpr Duration kAnswerPause = 250ms;  // within an answer that has begun: longer, and its length was wrong
+constexpr double kMostUtilisation = 8;    // beyond, a load report is absurd
+constexpr double kMostRate = 1e5;
 constexpr Duration kDrainMargin = 200ms;  // before the drain's grace ends, nothing is begun any more
 
 class ProbePayload : public Payload {
@@ -31,8 +36,8 @@
 LoadReport report_in(const http::Headers& headers) {
   LoadReport report;
   if (const std::string* text = headers.find("Endpoint-Load-Metrics")) {
-    report.utilisation = http::load_value(*text, "cpu_share");
-    report.rate_per_s = http::load_value(*text, "served_ps");
+    report.utilisation = http::load_value(*text, "cpu_share", kMostUtilisation);
+    report.rate_per_s = http::load_value(*text, "served_ps", kMostRate);
   }
   return report;
 }
@@ -64,6 +69,7 @@
 PeerActor::~PeerActor() {
   scheduler_.cancel(actor_);
   for (const auto& [key, task] : steps_) scheduler_.cancel(task);
+  while (!idle_.empty()) drop_idle(idle_.size() - 1, EndReason::kPeerDrained);
   std::erase(pool_.peers, this);
 }
 
@@ -123,8 +129,13 @@
 std::unique_ptr<PeerActor::Connection> PeerActor::take_idle() {
   sweep();
   if (idle_.empty()) return nullptr;
-  auto connection = std::move(idle_.back());
-  idle_.pop_back();
+  // The last used, but for those whose answer came just now: what does not belong to it may be under way.
+  const TimePoint settled = Clock::now() - kSettling;
+  auto it =
+      std::find_if(idle_.rbegin(), idle_.rend(), [&](const auto& c) { return c->idle_since <= settled; });
+  if (it == idle_.rend()) it = idle_.rbegin();
+  auto connection = std::move(*it);
+  idle_.erase(std::next(it).base());
   return connection;
 }
 
@@ -161,7 +172,7 @@
 Task<> PeerActor::run_step(RouteStep step) {
   StepDone done{step.operation, step.attempt, Result::kConnectFailed, {}, {}};
   try {
-    Exchanged got = co_await exchange(*step.payload, step.deadline);
+    Exchanged got = co_await exchange(*step.payload, step.connect_by, step.deadline);
     done.result = got.result;
     done.report = got.report;
     done.reply = std::move(got.reply);
@@ -176,7 +187,8 @@
 
 Task<> PeerActor::run_probe() {
   const ProbePayload payload;
-  const Exchanged got = co_await exchange(payload, now() + kProbeLimit);
+  const Time until = now() + kProbeLimit;
+  const Exchanged got = co_await exchange(payload, until, until);
   DecisionMessage message(ProbeDone{server_, got.result, got.report});
   co_await deliver(std::move(message));
 }
@@ -190,14 +202,14 @@
   }
 }
 
-Task<PeerActor::Exchanged> PeerActor::exchange(const Payload& payload, Time deadline) {
+Task<PeerActor::Exchanged> PeerActor::exchange(const Payload& payload, Time connect_by, Time deadline) {
   Exchanged got;
   if (!may_send()) co_return got;
   std::unique_ptr<Connection> connection = take_idle();
   if (!connection) {
     if (!make_room()) co_return got;
     connection = std::make_unique<Connection>(pool_.budget, status_.address);
-    const TimePoint until = to_point(std::min(deadline, now() + settings_.connect_timeout));
+    const TimePoint until = to_point(std::min(connect_by, now() + settings_.connect_timeout));
     connection->stream = co_await net::Stream::connect(scheduler_, status_.address, until);
     if (!connection->stream) {
       connection->reason = EndReason::kConnectFailed;
@@ -217,7 +229,7 @@
     co_return got;
   }
   bool reusable = false;
-  got = co_await receive(*connection, deadline, reusable);
+  got = co_await receive(*connection, payload.id(), deadline, reusable);
   if (reusable && status_.state == ServerState::kUp) {
     connection->idle_since = Clock::now();
     idle_.push_back(std::move(connection));
@@ -226,34 +238,40 @@
   co_return got;
 }
 
-Task<PeerActor::Exchanged> PeerActor::receive(Connection& connection, Time deadline, bool& reusable) {
+// An answer counts only as a whole one to this request; whatever else comes may have run, and its connection
+// is of no more use.
+Task<PeerActor::Exchanged> PeerActor::receive(Connection& connection, std::string_view id, Time deadline,
+                                              bool& reusable) {
   Exchanged got;
   std::string buffer;
   http::Parser parser(http::Parser::Kind::kResponse);
   http::Progress progress = http::Progress::kMore;
+  bool begun = false;
   while (progress == http::Progress::kMore) {
-    const Io io = co_await connection.stream->read(buffer, to_point(deadline));
-    if (io == Io::kTimeout) {
-      connection.reason = EndReason::kStepTimeout;
-      got.result = Result::kTimeout;
-      co_return got;
-    }
-    progress = io == Io::kOk ? parser.feed(buffer) : io == Io::kEof ? parser.end() : http::Progress::kBad;
-    if (io != Io::kOk && progress == http::Progress::kBad) {
-      connection.reason = EndReason::kReset;
-      got.result = Result::kReset;
-      co_return got;
-    }
-    if (progress == http::Progress::kBad) {
-      connection.reason = EndReason::kBadReply;
-      got.result = Result::kError;  // it may have run
-      co_return got;
+    const Time until = begun ? std::min(deadline, now() + kAnswerPause) : deadline;
+    const Io io = co_await connection.stream->read(buffer, to_point(until));
+    if (io == Io::kOk) progress = parser.feed(buffer);
+    if (io == Io::kOk && progress != http::Progress::kBad) {
+      begun = true;
+      continue;
     }
-    reusable = io == Io::kOk;
+    const bool broke = io == Io::kEof || io == Io::kError;
+    const bool late = io == Io::kTimeout && !begun;
+    connection.reason = broke ? EndReason::kReset : late ? EndReason::kStepTimeout : EndReason::kBadReply;
+    got.result = broke ? Result::kReset : late ? Result::kTimeout : Result::kError;
+    co_return got;
   }
   http::Message& message = parser.message();
-  reusable = reusable && message.keep_alive() && buffer.empty();
-  connection.reason = EndReason::kPeerClosed;
+  const bool named = !id.empty() && message.body.starts_with(id);
+  // Guards against serving a request with what was left over from the one before it on this connection.
+  if (message.status == 200 && !named && std::exchange(connection.names_requests, named)) {
+    connection.reason = EndReason::kBadReply;
+    got.result = Result::kError;
+    co_return got;
+  }
+  connection.names_requests = named;
+  reusable = message.keep_alive() && buffer.empty();
+  connection.reason = buffer.empty() ? EndReason::kPeerClosed : EndReason::kBadReply;
   got.result = result_of(message);
   got.report = report_in(message.headers);
   got.reply.body = std::move(message.body);
--- a/src/proxy/peer_actor.h
+++ b/src/proxy/peer_actor.h
@@ -40,6 +40,7 @@
     std::unique_ptr<net::Stream> stream;
     EndReason reason = EndReason::kStepCancelled;  // what it is if its route step is destroyed
     std::uint64_t operations = 0;
+    bool names_requests = false;  // its last answer began with its request's id
     runtime::TimePoint idle_since{};
   };
   struct Exchanged {
@@ -52,8 +53,9 @@
   runtime::Task<> run_step(RouteStep step);
   runtime::Task<> run_probe();
   runtime::Task<> deliver(DecisionMessage message);
-  runtime::Task<Exchanged> exchange(const Payload& payload, Time deadline);
-  runtime::Task<Exchanged> receive(Connection& connection, Time deadline, bool& reusable);
+  runtime::Task<Exchanged> exchange(const Payload& payload, Time connect_by, Time deadline);
+  runtime::Task<Exchanged> receive(Connection& connection, std::string_view id, Time deadline,
+                                   bool& reusable);
 
   void on(RouteStep& step);
   void on(CancelStep& cancel);
--- a/tests/parser_tables.cpp
+++ b/tests/parser_tables.cpp
@@ -22,6 +22,15 @@
 const auto kRequest = Parser::Kind::kRequest;
 const auto kResponse = Parser::Kind::kResponse;
 
+std::string repeated(int n, const std::string& text) {
+  std::string all;
+  while (n-- > 0) all += text;
+  return all;
+}
+std::string interim(int n) { return repeated(n, "HTTP/1.1 102 Processing\r\n\r\n"); }
+std::string blank(int n) { return repeated(n, "\r\n"); }
+std::string chunks(int n) { return repeated(n, "1\r\nx\r\n"); }
+
 const MessageCase kMessages[] = {
     {"no body", kRequest, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", Progress::kDone},
     {"length", kRequest, "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc", Progress::kDone, 0, "abc"},
@@ -36,6 +45,13 @@
     {"both framings", kRequest, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
      Progress::kBad, 400},
     {"other encoding", kRequest, "POST /a HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", Progress::kBad, 400},
+    {"endless blank lines", kRequest, blank(33), Progress::kBad, 400},
+    {"same length twice", kRequest, "POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n",
+     Progress::kBad, 400},
+    {"target not ASCII", kRequest, "GET /\xe9 HTTP/1.1\r\n\r\n", Progress::kBad, 400},
+    {"tiny chunks", kRequest,
+     "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks(20000) + "0\r\n\r\n", Progress::kDone,
+     0, std::string(20000, 'x')},
     {"two lengths", kRequest, "POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
      Progress::kBad, 400},
     {"signed length", kRequest, "POST /a HTTP/1.1\r\nContent-Length: +1\r\n\r\n", Progress::kBad, 400},
@@ -63,7 +79,14 @@
     {"interim first", kResponse, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
      Progress::kDone, 0, "x"},
     {"no content", kResponse, "HTTP/1.1 204 No Content\r\n\r\n", Progress::kDone},
-    {"until the end", kResponse, "HTTP/1.1 200 OK\r\n\r\nabc", Progress::kMore},
+    {"no stated end", kResponse, "HTTP/1.1 200 OK\r\n\r\nabc", Progress::kBad},
+    {"endless interim", kResponse, interim(9) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+     Progress::kBad},
+    {"some interim", kResponse, interim(8) + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", Progress::kDone},
+    {"unreadable report", kResponse, "HTTP/1.1 200 OK\r\nX: \x01\r\nContent-Length: 1\r\n\r\nx",
+     Progress::kDone, 0, "x"},
+    {"unreadable length", kResponse, "HTTP/1.1 200 OK\r\nContent-Length: \x01\r\n\r\nx", Progress::kBad},
+    {"claimed 3 GB", kResponse, "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nx", Progress::kBad},
     {"no status", kResponse, "HTTP/1.1 OK\r\n\r\n", Progress::kBad, 400},
     {"not HTTP", kResponse, "SSH-2.0-OpenSSH\r\n\r\n", Progress::kBad, 400},
 };
@@ -89,14 +112,17 @@
 }
 
 void message_parts() {
-  Parser until_end(kResponse);
-  std::string bytes = "HTTP/1.1 200 OK\r\n\r\nabc";
-  assert(until_end.feed(bytes) == Progress::kMore && until_end.end() == Progress::kDone);
-  assert(until_end.message().body == "abc");
   Parser cut(kResponse);
-  bytes = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc";
+  std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc";
   assert(cut.feed(bytes) == Progress::kMore && cut.end() == Progress::kBad);
 
+  const struct {
+    const char* bytes;
+    bool may_begin;
+  } starts[] = {{"", true},     {"G", true},          {"POST /a", true}, {"\r\nGET /", true}, {"\r", true},
+                {"xyz", false}, {"{\"a\":1}", false}, {"get /", false},  {"\nGET /", false}};
+  for (const auto& c : starts) assert(http::may_begin_request(c.bytes) == c.may_begin);
+
   const struct {
     const char* head;
     bool keeps;
@@ -123,11 +149,13 @@
                {"TEXT util=", {}},
                {"TEXT util=nan", {}},
                {"TEXT util=-1", {}},
+               {"TEXT util=9", {}},
+               {"TEXT util=inf", {}},
                {"TEXT util=1e999", {}},
                {"TEXT util=1x", {}},
                {"", {}},
                {"TEXT ,,=,util", {}}};
-  for (const auto& c : loads) assert(http::load_value(c.text, "util") == c.value);
+  for (const auto& c : loads) assert(http::load_value(c.text, "util", 8) == c.value);
   const struct {
     const char* text;
     std::optional<std::uint64_t> value;
--- a/tests/proxy_rules.cpp
+++ b/tests/proxy_rules.cpp
@@ -1,6 +1,7 @@
 // One test with real sockets for each rule that the proxy must keep. Run with a test's name.
 #include <cstring>
 
+#include "proxy/decision_actor.h"
 #include "proxy_test.h"
 
 using namespace beechhill;
@@ -177,6 +178,15 @@
       {"DELETE /ver HTTP/1.1\r\nX-Trace-Id: a\r\n\r\n", 405},
       {"GET /ver HTTP/1.1\r\nX-Trace-Id: a\r\nX-Customer: nobody\r\n\r\n", 400},
       {"GET /ver HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In-Ms: soon\r\n\r\n", 400},
+      {"GET /ver HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In-Ms: 0\r\n\r\n", 400},
+      {"GET /ver HTTP/1.1\r\nX-Trace-Id: a\r\nX-Expires-In-Ms: 9\r\nX-Expires-In-Ms: 900\r\n\r\n", 400},
+      {"GET /ver HTTP/1.1\r\nX-Trace-Id:\r\n\r\n", 400},
+      {"GET /ver HTTP/1.1\r\nX-Trace-Id: a\r\nX-Trace-Id: b\r\n\r\n", 400},
+      {"GET /ver HTTP/1.1\r\nX-Trace-Id: a\r\nX-Customer: \r\n\r\n", 400},
+      {"GET /ver HTTP/1.1\r\nX-Trace-Id: a\r\nContent-Length: 4\r\n\r\nGET ", 400},
+      {"GET /ajuste HTTP/1.1\r\nX-Trace-Id: a\r\nIdempotency-Key: k\r\n\r\n", 405},
+      {"POST /ver HTTP/1.1\r\nX-Trace-Id: a\r\nContent-Length: 0\r\n\r\n", 405},
+      {"POST /ajuste HTTP/1.1\r\nX-Trace-Id: a\r\nIdempotency-Key: k\r\nContent-Length: 1\r\n\r\nabc", 400},
   };
   for (const auto& c : cases) {
     Wire client = proxy.client();
@@ -187,6 +197,54 @@
   assert(!backend.pending(0ms) && proxy.ready() == 200);
 }
 
+// Whoever says nothing, or half of it, hears of it soon; a silent crowd larger than the descriptors does not
+// drive out a client that was served, nor keep a new one waiting.
+void hurries_silent_clients() {
+  const Door backend;
+  const Proxy proxy(one_host(backend));
+  Wire half = proxy.client();
+  half.send(Proxy::get("a0").substr(0, 30));
+  expect_status(half, 408);
+  std::vector<Wire> silent;
+  Wire usual = proxy.client();
+  usual.send("GET /health/ready HTTP/1.1\r\n\r\n");
+  expect_status(usual, 200);
+  for (int i = 0; i < 300; ++i) silent.push_back(proxy.client());
+  Wire fresh = proxy.client();
+  for (Wire* client : {&usual, &fresh}) {
+    client->send("GET /health/ready HTTP/1.1\r\n\r\n");
+    expect_status(*client, 200);
+  }
+  for (Wire& client : silent) assert(!client.fill());
+}
+
+// The id of an open request is refused, and the first request goes on.
+void refuses_an_open_id() {
+  const Door backend;
+  const Proxy proxy(one_host(backend));
+  Wire client = proxy.client(), other = proxy.client();
+  client.send(Proxy::get("a1"));
+  Wire server = backend.accept();
+  server.request();
+  other.send(Proxy::post("a1", "x"));
+  expect_status(other, 409);
+  server.reply(200, "", "first");
+  assert(client.answer().body == "first" && !backend.pending(0ms));
+}
+
+// What follows a request and is no request shows that its length was wrong, also where it comes late.
+void gives_up_a_request_of_wrong_length() {
+  const Door backend;
+  const Proxy proxy(one_host(backend));
+  Wire client = proxy.client();
+  client.send(Proxy::post("a1", "x"));
+  Wire server = backend.accept();
+  server.request();
+  client.send("more of the body");
+  expect_status(client, 400);
+  assert(!server.fill());
+}
+
 // A backend's nonsense is a failure of that step alone.
 void survives_bad_backends() {
   const Door backend;
@@ -206,6 +264,37 @@
   assert(proxy.ready() == 200);
 }
 
+// An answer that stops before its stated end is given up long before its request's time is.
+void gives_up_a_spoilt_answer() {
+  const Door backend;
+  const Proxy proxy(one_host(backend));
+  Wire client = proxy.client();
+  const auto sent = Clock::now();
+  client.send(Proxy::get("a1", 3000));
+  Wire server = backend.accept();
+  server.request();
+  server.send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\na1");
+  assert(!server.fill());
+  assert(client.answer().status != 200 && Clock::now() - sent < 2500ms);
+}
+
+// What was left over from one answer is not served as the next, and its connection is not used again.
+void ties_answers_to_requests() {
+  const Door backend;
+  const Proxy proxy(one_host(backend));
+  Wire client = proxy.client();
+  client.send(Proxy::post("a1", "x"));
+  Wire server = backend.accept();
+  server.request();
+  server.reply(200, "", "a1 first");
+  assert(client.answer().body == "a1 first");
+  client.send(Proxy::post("a2", "x"));
+  server.request();
+  server.reply(200, "", "a1 first");
+  expect_status(client, 502);
+  assert(!server.fill());
+}
+
 // Bad words from discovery end the watch; the proxy comes back for the list and uses it.
 void survives_bad_discovery() {
   const Door backend;
@@ -256,6 +345,70 @@
   assert(proxy.exit_status() == 0);
 }
 
+class CountedPeer : public proxy::Peer {
+ public:
+  explicit CountedPeer(int& alive) : alive_(alive) { ++alive_; }
+  ~CountedPeer() override { --alive_; }
+  bool post(proxy::PeerMessage&&) override { return true; }
+
+ private:
+  int& alive_;
+};
+
+runtime::Task<> replace_backends(runtime::Scheduler& scheduler, proxy::DecisionBox& inbox) {
+  for (std::uint64_t n = 1; n <= 500; ++n) {
+    config::PoolConfig pool{n, n % 2 == 0, {config::PoolEntry{.host = "s-" + std::to_string(n)}}};
+    if (n % 2 == 1)
+      pool.entries.push_back({.host = "s-" + std::to_string(n - 1), .state = ServerState::kRemoved});
+    proxy::DecisionMessage message(std::move(pool));
+    assert(inbox.post(std::move(message)));
+    runtime::Wait turn(scheduler);
+    turn.until(Clock::now());
+    co_await turn;
+  }
+  scheduler.stop();
+}
+
+// A long day: what belongs to backends that are gone is freed, however they went.
+void lets_gone_backends_go() {
+  const std::string text = config_json("127.0.0.1:1", "127.0.0.1:2", "[]");
+  const config::Config c =
+      config::read_config(config::parse(text.data(), text.data() + text.size(), "config"));
+  int alive = 0, made = 0;
+  runtime::Scheduler scheduler;
+  proxy::WatchBox watch(4);
+  const auto make = [&](proxy::DecisionBox&, ServerId server, const sockaddr_in&) {
+    assert(server < 3);  // numbers are given out again
+    return ++made, std::make_unique<CountedPeer>(alive);
+  };
+  proxy::DecisionActor decisions(scheduler, c, make, watch);
+  scheduler.spawn(decisions.run());
+  scheduler.spawn(replace_backends(scheduler, decisions.inbox()));
+  scheduler.run();
+  assert(made == 500 && alive <= 2);
+}
+
+// A new backend at the address of one that is gone shares nothing with it, connections neither.
+void parts_backends_at_one_address() {
+  const Door backend;
+  Proxy proxy(one_host(backend));
+  Wire client = proxy.client();
+  client.send(Proxy::get("a1"));
+  Wire former = backend.accept();
+  former.request();
+  former.reply(200, "", "");
+  expect_status(client, 200);
+  proxy.list("[" + host_json("s-1", backend.address(), "terminated") + "," +
+                 host_json("s-2", backend.address()) + "]",
+             false);
+  assert(!former.fill());
+  client.send(Proxy::get("a2"));
+  Wire server = backend.accept();
+  server.request();
+  server.reply(200, "", "new");
+  assert(client.answer().body == "new");
+}
+
 // A connection that a backend has closed is not used again: what is written to it would be a reset.
 void drops_stale_connections() {
   const Door backend;
@@ -327,10 +480,17 @@
     {"follows_a_client_that_leaves", follows_a_client_that_leaves},
     {"keeps_pipelined_requests", keeps_pipelined_requests},
     {"refuses_malformed_requests", refuses_malformed_requests},
+    {"hurries_silent_clients", hurries_silent_clients},
+    {"refuses_an_open_id", refuses_an_open_id},
+    {"gives_up_a_request_of_wrong_length", gives_up_a_request_of_wrong_length},
     {"survives_bad_backends", survives_bad_backends},
+    {"gives_up_a_spoilt_answer", gives_up_a_spoilt_answer},
+    {"ties_answers_to_requests", ties_answers_to_requests},
     {"survives_bad_discovery", survives_bad_discovery},
     {"leaves_a_silent_discovery", leaves_a_silent_discovery},
     {"moves_with_its_configuration", moves_with_its_configuration},
+    {"lets_gone_backends_go", lets_gone_backends_go},
+    {"parts_backends_at_one_address", parts_backends_at_one_address},
     {"drops_stale_connections", drops_stale_connections},
     {"outlives_a_shortage_of_descriptors", outlives_a_shortage_of_descriptors},
     {"ends_in_good_order", ends_in_good_order},
