Count a server's errors by class, so that one failing a class keeps the others

Checked with outcomes logged in a copy: from 46 to 57 s three of the six indice nodes answer 'error' to ajuste only (their own proxies send 35 ajuste in 5 s, the others 225), consulta's proxies then move both classes to the other three (430 calls in 5 s, 290 before), which jam; the first tier's C closes and stays. Ruled out: churn itself (archivo's outcomes are clean), connections, descriptors, memory, CPU. At fault: least_loaded() weighed a server by its errors of all classes together. Now a tally by class, pulled to the server's whole by two tries. Also: a held call is refused before 45% of its own time is over, and what comes back under the number of a gone server starts afresh.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -29,6 +29,7 @@
 constexpr double kSmallLimit = 10;        // C in widths, under which its steps are parts of it
 constexpr double kSlow = 1.5;             // pace beyond what the weight explains that counts as trouble
 constexpr double kErrorLoad = 4;          // an error weighs like this many calls outstanding
+constexpr double kClassPrior = 2;         // tries of one class that a server's other classes stand for
 constexpr double kMostPace = 5;           // one stuck answer must not outweigh ten good ones
 constexpr double kPaceSmoothing = 0.3;    // quick, as a server can turn slow at once
 constexpr double kSmoothing = 0.2;        // weight of a new sample in every moving average
@@ -56,6 +57,7 @@
     validate(s_);
     make_levels();
     for (const auto& c : s_.classes) guess_ = std::min(guess_, seconds(c.aim));
+    tallies_.resize(s_.classes.size());
     latency_ = slow_latency_ = std::vector<double>(s_.classes.size(), 0);
     reserves_.assign(s_.tenants.size(), {kOpen, now});  // full
   }
@@ -158,6 +160,8 @@
     c.hold_until =
         std::min({now_ + patience, last - from_seconds(slow_latency_[r.class_id]), r.deadline - s_.step});
     c.hold_until = std::max(c.hold_until, std::min(now_ + aim(c) / 10, r.deadline - s_.step));
+    // A client that is refused unsent after half of its own time, often less than its class's, pays for it.
+    if (s_.tier == 0) c.hold_until = std::min(c.hold_until, now_ + (r.deadline - now_) * 9 / 20);
     auto& call = calls_[r.id] = std::move(c);
     hold(call);
     forget(r.id);
@@ -273,6 +277,7 @@
     Evidence all;
     int warm = 0, present = 0;
     std::fill(kinds_.begin(), kinds_.end(), Evidence{});
+    std::fill(tallies_.begin(), tallies_.end(), Tally{});
     for (auto& s : servers_) {
       decay(s);
       if (!up(s)) continue;
@@ -280,11 +285,11 @@
       ++present;
       all += s.own;
       kinds_[s.entry.kind] += s.own;
+      for (ClassId c = 0; c < tallies_.size(); ++c) tallies_[c] += s.tallies[c];
     }
     warm_servers_ = warm;
     up_servers_ = std::max(1, present);
     mean_weight_ = all.utils > 0 && all.rates > 0 ? all.rates / all.utils : 1;
-    mean_errors_ = all.errors / (all.tries + 1);
     mean_excess_ = present > 0 ? 0 : 1;
     for (const auto& s : servers_) mean_excess_ += up(s) ? excess(s) / present : 0;
   }
@@ -303,9 +308,8 @@
       load *= (1 + silence * silence) * lag(s) * lag(s);
       // Guards against servers that fail fast and so look idle: each error beyond the mean and chance sends
       // the next calls to others. Trouble of all, or of the tier below, raises the mean and moves none.
-      const double usual = s.own.tries * mean_errors_;
       const double blame = s_.tier + 1 == s_.tier_count ? kErrorLoad : 1;  // above, it may come from below
-      load *= 1 + blame * std::max(0.0, s.own.errors - usual - 2 * std::sqrt(usual));
+      load *= 1 + blame * excess_errors(s, c.request.class_id);
       load /= std::max(relative_weight(s), kWeightFloor) * warmth(s);
       if (load >= least) continue;
       best = id;
@@ -314,6 +318,17 @@
     return best;
   }
 
+  // Errors on this class beyond the mean's and chance's, at the server's whole traffic. By class: a server
+  // that fails one class only must keep the others, or its peers get more than they can do.
+  double excess_errors(const Server& s, ClassId id) const {
+    Tally all;
+    for (const Tally& t : s.tallies) all += t;
+    const double whole = all.errors / std::max(1.0, all.tries);
+    const double rate = (s.tallies[id].errors + kClassPrior * whole) / (s.tallies[id].tries + kClassPrior);
+    const double usual = all.tries * tallies_[id].errors / (tallies_[id].tries + 1);
+    return std::max(0.0, all.tries * rate - usual - 2 * std::sqrt(usual));
+  }
+
   // Guards against a server that is slower than its report explains (crowded, or sharing its machine): how
   // many times over it is behind its peers; 1 up to kSlow, so that ordinary spread does not count.
   double lag(const Server& s) const { return std::max(1.0, excess(s) / (kSlow * mean_excess_)); }
@@ -336,7 +351,9 @@
     const double dt = seconds(now_ - s.decayed_at);
     if (dt <= 0) return;
     s.recent *= std::exp(-dt / std::max(4 * typical(), kRounds * in_use_ / std::max(send_rate(), 0.01)));
-    s.own.fade(std::exp(-dt / seconds(kEvidenceSpan)));
+    const double fading = std::exp(-dt / seconds(kEvidenceSpan));
+    s.own.paces *= fading, s.own.answers *= fading;
+    for (Tally& t : s.tallies) t.tries *= fading, t.errors *= fading;
     s.decayed_at = now_;
   }
 
@@ -344,7 +361,7 @@
     Server& s = servers_[id];
     if (s.open++ == 0) s.waiting_since = now_;
     s.recent += 1;
-    s.own.tries += 1;
+    s.tallies[c.request.class_id].tries += 1;
     s.turn = 1 - uniform() * std::max(0.0, 1 - mean_running_ / up_servers_);
     if (cold(s)) s.budget.tokens -= 1;
     note_send();
@@ -424,7 +441,8 @@
       limit_ += kLimitGrowth * c.width * step();
     }
     if (result == Result::kFull) s.full_until = now_ + from_seconds(typical());
-    s.own.errors += !ok && result != Result::kFull && result != Result::kCancelled && result != Result::kMoot;
+    s.tallies[c.request.class_id].errors +=
+        !ok && result != Result::kFull && result != Result::kCancelled && result != Result::kMoot;
   }
 
   // What runs by chance at the mean of late: guards against a C that one late answer closes on a lull.
@@ -534,17 +552,22 @@
       while (servers_.size() <= e.server) {  // instances must not start, nor probe, in the same order
         servers_.emplace_back().turn = uniform();
         servers_.back().order = uniform();
+        servers_.back().tallies.resize(s_.classes.size());
       }
       Server& s = servers_[e.server];
-      if (e.born && (!s.entry.born || *e.born != *s.entry.born)) restarted(s);
+      const bool reborn = e.born && (!s.entry.born || *e.born != *s.entry.born);
+      // Numbers are given out again: what comes back after it had gone may be another machine.
+      if (reborn || (s.gone && e.state != ServerState::kRemoved)) restarted(s);
       s.entry = e;
       if (kinds_.size() <= e.kind) kinds_.resize(e.kind + 1);
       s.listed = e.state != ServerState::kRemoved;
     }
+    for (auto& s : servers_) s.gone = s.gone || !s.listed;
   }
 
   void restarted(Server& s) {  // what was known of its former life is void
     const Server former = std::exchange(s, Server{});
+    s.tallies.resize(s_.classes.size());
     s.open = former.open;
     s.order = former.order;
     s.turn = uniform();
@@ -591,6 +614,7 @@
   std::vector<Level> levels_;
   std::vector<Server> servers_;
   std::vector<Evidence> kinds_;                // by kind, summed
+  std::vector<Tally> tallies_;                 // by class, summed
   std::unordered_map<RequestId, Call> calls_;  // looked up only, never walked
   double guess_ = kOpen;                       // G, seconds: the shortest aim
   double virtual_ = 0, limit_ = kOpen;         // C
@@ -600,7 +624,7 @@
   Time next_drop_ = Time::max(), sweep_at_{0}, sent_at_{0};
   std::vector<double> latency_, slow_latency_;  // by class, seconds
   std::vector<Bucket> reserves_;                // by tenant
-  double mean_weight_ = 1, mean_excess_ = 1, mean_errors_ = 0, mean_latency_ = 0, send_rate_ = 0;
+  double mean_weight_ = 1, mean_excess_ = 1, mean_latency_ = 0, send_rate_ = 0;
   double in_use_ = 1, retry_tokens_ = 3, probe_credit_ = kFirstProbes;
 };
 
--- a/src/state.h
+++ b/src/state.h
@@ -70,7 +70,6 @@
   double rates = 0, utils = 0;  // reported
   double paces = 0;             // times of answers over what their class usually takes
   double answers = 0;
-  double tries = 0, errors = 0;
 
   void add_pace(double pace, double fading) {
     paces += pace - fading * paces;
@@ -81,19 +80,25 @@
     utils += e.utils;
     paces += e.paces;
     answers += e.answers;
-    tries += e.tries;
-    errors += e.errors;
     return *this;
   }
-  void fade(double factor) {
-    for (double* x : {&paces, &answers, &tries, &errors}) *x *= factor;
+};
+
+struct Tally {  // of attempts of one class, or summed; fading
+  double tries = 0, errors = 0;
+
+  Tally& operator+=(const Tally& t) {
+    tries += t.tries;
+    errors += t.errors;
+    return *this;
   }
 };
 
 struct Server {
   ServerEntry entry;
-  bool listed = false;
+  bool listed = false, gone = false;  // gone: left the list, and has not come back
   Evidence own;
+  std::vector<Tally> tallies;  // by class
   int open = 0;
   double recent = 0;  // decayed count of own sends
   double order = 0;   // fixed for life, random: the lowest are used first
