--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -29,7 +29,7 @@
 constexpr double kSmallLimit = 10;        // C in widths, under which its steps are parts of it
 constexpr double kSlow = 1.5;             // pace beyond what the weight explains that counts as trouble
 constexpr double kErrorLoad = 4;          // an error weighs like this many calls outstanding
-constexpr double kClassPrior = 2;         // tries of one class that a server's other classes stand for
+constexpr double kClassTries = 4;         // of a class that tell whether a server fails it
 constexpr double kMostPace = 5;           // one stuck answer must not outweigh ten good ones
 constexpr double kPaceSmoothing = 0.3;    // quick, as a server can turn slow at once
 constexpr double kSmoothing = 0.2;        // weight of a new sample in every moving average
@@ -289,6 +289,9 @@
     }
     warm_servers_ = warm;
     up_servers_ = std::max(1, present);
+    Tally total;
+    for (const Tally& t : tallies_) total += t;
+    mean_errors_ = total.errors / (total.tries + 1);
     mean_weight_ = all.utils > 0 && all.rates > 0 ? all.rates / all.utils : 1;
     mean_excess_ = present > 0 ? 0 : 1;
     for (const auto& s : servers_) mean_excess_ += up(s) ? excess(s) / present : 0;
@@ -318,15 +321,16 @@
     return best;
   }
 
-  // Errors on this class beyond the mean's and chance's, at the server's whole traffic. By class: a server
-  // that fails one class only must keep the others, or its peers get more than they can do.
+  // Errors beyond the mean's and chance's. None for a class that the server does no worse than its peers: one
+  // that fails another class only must keep this one, or its peers get more than they can do.
   double excess_errors(const Server& s, ClassId id) const {
+    const Tally& own = s.tallies[id];
+    if (own.tries >= kClassTries && own.errors <= own.tries * tallies_[id].errors / (tallies_[id].tries + 1))
+      return 0;
     Tally all;
     for (const Tally& t : s.tallies) all += t;
-    const double whole = all.errors / std::max(1.0, all.tries);
-    const double rate = (s.tallies[id].errors + kClassPrior * whole) / (s.tallies[id].tries + kClassPrior);
-    const double usual = all.tries * tallies_[id].errors / (tallies_[id].tries + 1);
-    return std::max(0.0, all.tries * rate - usual - 2 * std::sqrt(usual));
+    const double usual = all.tries * mean_errors_;
+    return std::max(0.0, all.errors - usual - 2 * std::sqrt(usual));
   }
 
   // Guards against a server that is slower than its report explains (crowded, or sharing its machine): how
@@ -624,7 +628,7 @@
   Time next_drop_ = Time::max(), sweep_at_{0}, sent_at_{0};
   std::vector<double> latency_, slow_latency_;  // by class, seconds
   std::vector<Bucket> reserves_;                // by tenant
-  double mean_weight_ = 1, mean_excess_ = 1, mean_latency_ = 0, send_rate_ = 0;
+  double mean_weight_ = 1, mean_excess_ = 1, mean_errors_ = 0, mean_latency_ = 0, send_rate_ = 0;
   double in_use_ = 1, retry_tokens_ = 3, probe_credit_ = kFirstProbes;
 };
 
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -397,6 +397,32 @@
   for (const auto& [server, n] : per) EXPECT_NEAR(n, 100, 25) << server;
 }
 
+// Guards against half of the servers failing one class and, all else sent away too, the others jamming.
+TEST(Failing, OneClassDoesNotCostAServerTheOthers) {
+  Driver d;
+  d.servers(6);
+  int others = 0, failing = 0;
+  for (RequestId id = 0; id < 400; ++id) {
+    const ClassId c = id % 2 == 0 ? kRepeatable : kOnce;
+    d.request(id, c);
+    const Send send = d.sends.back();
+    const bool fails = c == kOnce && send.server < 3 && id > 100;
+    if (id > 200) (c == kOnce ? failing : others) += send.server < 3;
+    d.pass(milliseconds(10));
+    d.outcome(id, 0, fails ? Result::kError : Result::kOk);
+  }
+  EXPECT_GT(others, 30);   // of 100
+  EXPECT_LT(failing, 30);  // of 100
+}
+
+// Guards against a client that is refused, unsent, when most of its own short time has gone.
+TEST(Queueing, AHeldCallIsRefusedBeforeHalfOfItsOwnTimeIsOver) {
+  Driver d;  // knows no server: all is held
+  d.give(Request{1, kRepeatable, kNoTenant, d.now + milliseconds(600), {}});
+  d.pass(milliseconds(290));
+  EXPECT_EQ(d.answers.count(1), 1u);
+}
+
 TEST(Failing, AFrozenServerIsGivenNoMore) {
   Driver d;
   d.servers(4);
