Let clients' kept connections serve on for 2 s into a planned end

Seen: reload 0.61, all lost between 15 and 20 s: one proxy was still away when the other had SIGTERM, and its answers' 'Connection: close' had taken every client's connection within 0.3 s (logs: 27 connections answered_close from 17.1 to 17.3 s, then none), while the front sends it no new ones. At fault: FrontSocket::closes(), which closed on draining_ at once. Now older connections are told after 2 s, those that came after the signal at once, and every deadline ends 0.2 s before the kill may come. Left: clients that hold no connection in that gap. Also: half a request has 1.5 s, and an idle client's end is logged as idle.

--- a/src/proxy/front_socket.cpp
+++ b/src/proxy/front_socket.cpp
@@ -15,9 +15,9 @@
 
 namespace {
 
-constexpr auto kIdleLimit = 10s;           // between a client's requests
-constexpr auto kSilentLimit = 1s;          // for a new client's first byte
-constexpr auto kRequestLimit = 1s;         // for a request to arrive, from its first byte
+constexpr auto kIdleLimit = 10000ms;       // between a client's requests
+constexpr auto kSilentLimit = 1000ms;      // for a new client's first byte
+constexpr auto kRequestLimit = 1500ms;     // for a request to arrive, from its first byte
 constexpr auto kSilentAge = 30ms;          // when descriptors are short: a usual client has spoken by then
 constexpr auto kHalfSpokenAge = 500ms;     // the same, for the rest of its request
 constexpr auto kWriteLimit = 5s;           // for a client to take its answer
@@ -25,8 +25,10 @@
 constexpr auto kAcceptPause = 20ms;        // when descriptors are short
 constexpr auto kAcceptCheck = 200ms;       // how often the door looks whether it is to close
 constexpr auto kAcceptAfterTerm = 1000ms;  // callers hear of a planned end only some time after it began
-constexpr Duration kOverdue = 10ms;        // after the deadline, when the module has not answered
-constexpr Duration kIdKept = 1s;           // after its deadline, when nothing of a request is out any more
+constexpr auto kKeptAfterTerm = 2000ms;  // clients' kept connections serve on: another proxy may be away too
+constexpr Duration kAnsweredAfterTerm = 500ms;  // and the longest deadline: by then all has its answer
+constexpr Duration kOverdue = 10ms;             // after the deadline, when the module has not answered
+constexpr Duration kIdKept = 1s;  // after its deadline, when nothing of a request is out any more
 constexpr std::size_t kMostIds = 32 * 1024;
 constexpr std::size_t kLongestId = 128;
 constexpr std::size_t kAcceptTurn = 32;  // connections taken before others have their turn
@@ -134,11 +136,18 @@
 }
 
 Task<> FrontDoor::drain() {
+  const TimePoint begun = Clock::now();
+  Duration longest{0};
+  for (const ClassSettings& c : config_.named.settings.classes) longest = std::max(longest, c.deadline);
+  latest_ = to_time(begun) + longest + kAnsweredAfterTerm;
   draining_ = true;
-  runtime::Wait wait(scheduler_);
-  wait.until(Clock::now() + kAcceptAfterTerm);
-  co_await wait;
+  runtime::Wait accepting(scheduler_), keeping(scheduler_);
+  accepting.until(begun + kAcceptAfterTerm);
+  co_await accepting;
   closing_ = true;
+  keeping.until(begun + kKeptAfterTerm);
+  co_await keeping;
+  parting_ = true;
   while (!sockets_.empty()) {
     for (FrontSocket* socket : sockets_)
       if (socket->phase() == FrontSocket::Phase::kKept || socket->phase() == FrontSocket::Phase::kSilent)
@@ -181,7 +190,7 @@
     wait = std::chrono::milliseconds(std::min(*ms, static_cast<std::uint64_t>(longest)));
   }
   operation->arrived = now();
-  operation->deadline = operation->arrived + wait;
+  operation->deadline = std::min(operation->arrived + wait, latest_);
   if (!ids_.take(*trace, operation->arrived, operation->deadline + kIdKept)) return {409, nullptr};
   operation->payload = std::make_shared<const HttpPayload>(std::move(request));
   return {0, std::move(operation)};
@@ -204,6 +213,7 @@
       slot_(door.budget_),
       remote_(net::to_string(from)),
       stream_(door.scheduler_, std::move(fd)),
+      late_(door.draining_),
       place_(door.sockets_.insert(door.sockets_.end(), this)) {}
 
 FrontSocket::~FrontSocket() {
@@ -272,9 +282,10 @@
       co_return Got::kHalf;
     }
     if (io != Io::kOk) {
-      reason_ = io != Io::kTimeout ? EndReason::kClientClosed
-                : asked_           ? asked_reason_
-                                   : EndReason::kReadTimeout;
+      reason_ = io != Io::kTimeout       ? EndReason::kClientClosed
+                : asked_                 ? asked_reason_
+                : phase_ == Phase::kKept ? EndReason::kIdle
+                                         : EndReason::kReadTimeout;
       enter(Phase::kBusy);  // no longer one to ask
       co_return Got::kEnd;
     }
@@ -290,13 +301,13 @@
   co_return progress == http::Progress::kDone ? Got::kRequest : Got::kBad;
 }
 
-bool FrontSocket::closes(const http::Message& request) const {
-  return door_.draining_ || asked_ || !request.keep_alive();
-}
+// In a planned end a connection that came after its beginning closes with its first answer, an older one
+// later.
+bool FrontSocket::parts() const { return asked_ || door_.parting_ || (door_.draining_ && late_); }
 
 // False: this was the connection's last.
 Task<bool> FrontSocket::answer_request(http::Message& request) {
-  bool close = closes(request);
+  bool close = parts() || !request.keep_alive();
   if (request.method == "GET" && request.target == "/health/ready") {
     probed_ = true;
     const std::string bytes = http::write_response(door_.ready() ? 200 : 503, "", "", close);
@@ -315,7 +326,7 @@
   } else if (!co_await await_answer(operation)) {
     co_return false;
   }
-  close = close || door_.draining_ || asked_;
+  close = close || parts();
   std::string bytes;
   if (const auto* served = std::get_if<Reply>(&*operation->answer)) {
     const std::string type = served->type.empty() ? "" : "Content-Type: " + served->type + "\r\n";
--- a/src/proxy/front_socket.h
+++ b/src/proxy/front_socket.h
@@ -57,9 +57,10 @@
   std::function<bool()> has_list_;
   std::unique_ptr<net::Listener> listener_;
   OpenIds ids_;
-  std::list<FrontSocket*> sockets_;  // open ones
-  runtime::Notifier left_;           // one of them ended
-  bool draining_ = false, closing_ = false;
+  std::list<FrontSocket*> sockets_;                            // open ones
+  runtime::Notifier left_;                                     // one of them ended
+  bool draining_ = false, closing_ = false, parting_ = false;  // the stages of a planned end
+  Time latest_ = Time::max();                                  // when the last answer must have been given
 };
 
 // One client's connection: one operation at a time, each answered before the next is read.
@@ -84,7 +85,7 @@
   runtime::Task<bool> answer_request(http::Message& request);
   runtime::Task<bool> await_answer(const std::shared_ptr<Operation>& operation);
   runtime::Task<bool> reply(const std::string& bytes, bool close);
-  bool closes(const http::Message& request) const;
+  bool parts() const;
 
   FrontDoor& door_;
   FdBudget::Slot slot_;
@@ -98,6 +99,7 @@
   EndReason asked_reason_ = EndReason::kEvicted;
   EndReason reason_ = EndReason::kFault;
   std::uint64_t operations_ = 0;
+  bool late_;  // it came after a planned end had begun
   std::list<FrontSocket*>::iterator place_;
 };
 
--- a/src/proxy/log.h
+++ b/src/proxy/log.h
@@ -11,11 +11,11 @@
   kClientGone,       // while its operation was held or running
   kAnsweredClose,    // after an answer that said so
   kBadRequest,       // after a 4xx or 505
-  kReadTimeout,      // a request begun and not finished, or nothing for long
+  kReadTimeout,      // a new client said nothing, or a request begun was not finished
   kWriteFailed,      // the client did not take its answer
   kDraining,         // the program is ending
-  kEvicted,          // idle, and descriptors were short
-  kIdle,             // a backend's, idle for long
+  kEvicted,          // nothing was owed to it, and descriptors were short
+  kIdle,             // between requests for long
   kPeerClosed,       // a backend closed it while idle, or said that it would
   kPeerDrained,      // idle, and the backend drains or is gone
   kConnectFailed,    // refused, or not up in time
