Tie a planned end's stages to the longest deadline instead of a fixed 2 s

Seen by reading: kept connections served on for a fixed 2 s, which a kill may precede where deadlines are short, and the last answer waited for a deadline over 3 s although the kill counts 3 s at the most. Now both follow from the settings: answers end 0.5 s after the longest deadline (3 s at the most), taking ends 0.6 s before that.

--- a/src/proxy/front_socket.cpp
+++ b/src/proxy/front_socket.cpp
@@ -26,10 +26,12 @@
 constexpr auto kAcceptPause = 20ms;        // when descriptors are short
 constexpr auto kAcceptCheck = 200ms;       // how often the door looks whether it is to close
 constexpr auto kAcceptAfterTerm = 1000ms;  // callers hear of a planned end only some time after it began
-constexpr auto kKeptAfterTerm = 2000ms;  // clients' kept connections serve on: another proxy may be away too
-constexpr Duration kAnsweredAfterTerm = 500ms;  // and the longest deadline: by then all has its answer
-constexpr Duration kOverdue = 10ms;             // after the deadline, when the module has not answered
-constexpr Duration kIdKept = 1s;  // after its deadline, when nothing of a request is out any more
+// A planned end is cut short no sooner than the longest deadline, or 3 s where that is more, and 0.7 s after
+// its signal. All has its answer 0.2 s before; clients' kept connections serve on until 0.6 s before that, as
+// there may be no other proxy for them meanwhile.
+constexpr Duration kLongestCounted = 3s, kAnsweredAfterTerm = 500ms, kLastTaken = 600ms;
+constexpr Duration kOverdue = 10ms;  // after the deadline, when the module has not answered
+constexpr Duration kIdKept = 1s;     // after its deadline, when nothing of a request is out any more
 constexpr std::size_t kMostIds = 32 * 1024;
 constexpr std::size_t kLongestId = 128;
 constexpr std::size_t kAcceptTurn = 32;  // connections taken before others have their turn
@@ -141,13 +143,13 @@
   const TimePoint begun = Clock::now();
   Duration longest{0};
   for (const ClassSettings& c : config_.named.settings.classes) longest = std::max(longest, c.deadline);
-  latest_ = to_time(begun) + longest + kAnsweredAfterTerm;
+  latest_ = to_time(begun) + std::min(longest, kLongestCounted) + kAnsweredAfterTerm;
   draining_ = true;
   runtime::Wait accepting(scheduler_), keeping(scheduler_);
   accepting.until(begun + kAcceptAfterTerm);
   co_await accepting;
   closing_ = true;
-  keeping.until(begun + kKeptAfterTerm);
+  keeping.until(to_point(latest_ - kLastTaken));
   co_await keeping;
   parting_ = true;
   while (!sockets_.empty()) {
