--- /dev/null
+++ b/src/emulator/metrics.cpp
@@ -0,0 +1,133 @@
+#include "emulator/metrics.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace beechhill::emulator {
+namespace {
+
+namespace bh = boost::histogram;
+constexpr unsigned kBins = 1600;
+
+Json::Value number(std::uint64_t n) { return Json::Value(static_cast<Json::UInt64>(n)); }
+double whole_seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+
+}  // namespace
+
+LatencyHistogram::LatencyHistogram()
+    : bins_(bh::make_histogram_with(std::vector<std::uint64_t>(), Axis(kBins, kLeast, kMost))) {}
+
+void LatencyHistogram::add(Duration span) {
+  ++count_;
+  bins_(std::clamp(whole_seconds(span), kLeast, kMost * 0.999));
+}
+
+double LatencyHistogram::quantile(double q) const {
+  if (count_ == 0) return 0;
+  const double rank = q * static_cast<double>(count_);
+  double seen = 0;
+  for (int i = 0; i < static_cast<int>(kBins); ++i) {
+    seen += static_cast<double>(bins_.at(i));
+    if (seen >= rank && bins_.at(i) > 0)
+      return std::sqrt(bins_.axis().bin(i).lower() * bins_.axis().bin(i).upper());
+  }
+  return kMost;
+}
+
+Json::Value LatencyHistogram::cdf() const {
+  Json::Value points(Json::arrayValue);
+  std::uint64_t seen = 0;
+  for (int i = 0; i < static_cast<int>(kBins); ++i) {
+    const std::uint64_t n = bins_.at(i);
+    if (n == 0) continue;
+    seen += n;
+    Json::Value point(Json::arrayValue);
+    point.append(bins_.axis().bin(i).upper());
+    point.append(static_cast<double>(seen) / static_cast<double>(count_));
+    points.append(point);
+  }
+  return points;
+}
+
+Json::Value Count::to_json() const {
+  Json::Value v;
+  v["asked"] = number(asked);
+  v["in_aim"] = number(in_aim);
+  v["late"] = number(late);
+  v["refused"] = number(refused);
+  v["failed"] = number(failed);
+  v["unanswered"] = number(unanswered);
+  v["goodput"] = worth_asked > 0 ? worth_served / worth_asked : 1;
+  v["worth"] = worth_asked;
+  return v;
+}
+
+Metrics::Metrics(const Scenario& s)
+    : by_class(s.classes.size()), by_tenant(s.tenants.size()), latency(s.classes.size()) {}
+
+double Metrics::recovery_s(Duration before, Duration from, Duration until, double share) const {
+  const auto mean = [this](std::size_t a, std::size_t b) {
+    double asked = 0, served = 0;
+    for (std::size_t i = a; i < std::min(b, seconds.size()); ++i)
+      asked += seconds[i].worth_asked, served += seconds[i].worth_served;
+    return asked > 0 ? served / asked : 1;
+  };
+  const auto first = static_cast<std::size_t>(std::ceil(whole_seconds(from)));
+  const auto last = static_cast<std::size_t>(whole_seconds(until));
+  const double usual = mean(static_cast<std::size_t>(whole_seconds(before)), first);
+  for (std::size_t i = first; i + 3 <= last; ++i)  // three seconds in a row: one lucky second is no recovery
+    if (mean(i, i + 1) >= share * usual && mean(i + 1, i + 2) >= share * usual &&
+        mean(i + 2, i + 3) >= share * usual)
+      return static_cast<double>(i - first);
+  return -1;
+}
+
+Json::Value Metrics::to_json(const Scenario& s, bool series) const {
+  Json::Value v;
+  v["goodput"] = goodput();
+  v["all"] = all.to_json();
+  v["p50_s"] = latency_all.quantile(0.5);
+  v["p99_s"] = latency_all.quantile(0.99);
+  v["p999_s"] = latency_all.quantile(0.999);
+  for (std::size_t i = 0; i < by_class.size(); ++i) {
+    Json::Value c = by_class[i].to_json();
+    c["p50_s"] = latency[i].quantile(0.5);
+    c["p99_s"] = latency[i].quantile(0.99);
+    c["p999_s"] = latency[i].quantile(0.999);
+    v["classes"][s.classes[i].name] = c;
+  }
+  for (std::size_t i = 0; i < by_tenant.size(); ++i) v["tenants"][s.tenants[i].name] = by_tenant[i].to_json();
+  v["tries"] = number(tries);
+  v["attempts"] = number(attempts);
+  v["tries_per_request"] = all.asked > 0 ? static_cast<double>(tries) / static_cast<double>(all.asked) : 0;
+  v["attempts_per_request"] = all.asked > 0 ? static_cast<double>(attempts) / static_cast<double>(all.asked) : 0;
+  v["connections"] = number(connections);
+  v["connected_pairs"] = number(pairs);
+  v["probes"] = number(probes);
+  v["unreachable"] = number(unreachable);
+  v["tipped"] = number(tipped);
+  v["work_done_s"] = work_done;
+  v["waste"] = work_done > 0 ? std::max(0.0, 1 - work_useful / work_done) : 0;
+  v["events"] = number(events);
+  v["decisions"] = number(decisions);
+  for (const Json::Value& t : tiers) v["tiers"].append(t);
+  if (!series) return v;
+  for (const Second& w : seconds) {
+    Json::Value row;
+    row["asked"] = number(w.asked);
+    row["in_aim"] = number(w.in_aim);
+    row["refused"] = number(w.refused);
+    row["failed"] = number(w.failed);
+    row["tries"] = number(w.tries);
+    row["attempts"] = number(w.attempts);
+    row["goodput"] = w.worth_asked > 0 ? w.worth_served / w.worth_asked : 1;
+    row["busy"] = w.busy;
+    row["waiting"] = number(w.waiting);
+    row["load_max_over_mean"] = w.load_max_over_mean;
+    v["seconds"].append(row);
+  }
+  v["latency_cdf"] = latency_all.cdf();
+  return v;
+}
+
+}  // namespace beechhill::emulator
--- /dev/null
+++ b/src/emulator/metrics.h
@@ -0,0 +1,68 @@
+// What a run is judged by: worth, waste, latencies, rule counts, and a line a second.
+#pragma once
+
+#include <json/json.h>
+
+#include <boost/histogram.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "emulator/scenario.h"
+
+namespace beechhill::emulator {
+
+// Latencies from 10 us to 1,000 s on a logarithmic axis: 200 bins a decade, so a quantile is within 0.6 %.
+class LatencyHistogram {
+ public:
+  static constexpr double kLeast = 1e-5, kMost = 1e3, kRelativeError = 0.006;
+  LatencyHistogram();
+  void add(Duration span);
+  std::uint64_t count() const { return count_; }
+  // Seconds; 0 where there is nothing. The middle of the bin, by ratio.
+  double quantile(double q) const;
+  // Upper edges and cumulative shares of the bins that hold something.
+  Json::Value cdf() const;
+
+ private:
+  using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+  using Histogram = decltype(boost::histogram::make_histogram_with(std::vector<std::uint64_t>(), Axis()));
+  Histogram bins_;
+  std::uint64_t count_ = 0;
+};
+
+struct Count {  // of first tries of one class or tenant, after the warm-up
+  std::uint64_t asked = 0, in_aim = 0, late = 0, refused = 0, failed = 0, unanswered = 0;
+  double worth_asked = 0, worth_served = 0;
+  Json::Value to_json() const;
+};
+
+struct Second {  // one window of the time series
+  std::uint64_t asked = 0, in_aim = 0, refused = 0, failed = 0, tries = 0, attempts = 0;
+  double worth_asked = 0, worth_served = 0, busy = 0;
+  std::uint64_t waiting = 0;       // jobs without a core, at its end
+  double load_max_over_mean = 0;   // of jobs in hand over the nodes of the first tier, at its end
+};
+
+struct Metrics {
+  explicit Metrics(const Scenario& s);
+
+  std::vector<Count> by_class, by_tenant;
+  Count all;
+  std::vector<LatencyHistogram> latency;  // by class, of what was served
+  LatencyHistogram latency_all;
+  std::vector<Second> seconds;
+  std::uint64_t tries = 0, attempts = 0, connections = 0, probes = 0, unreachable = 0, tipped = 0;
+  std::uint64_t pairs = 0;  // proxy and node that ever had a connection
+  double work_done = 0, work_useful = 0;  // core-seconds at speed 1
+  std::uint64_t events = 0, decisions = 0;
+  std::vector<Json::Value> tiers;
+
+  double goodput() const { return all.worth_asked > 0 ? all.worth_served / all.worth_asked : 1; }
+  // Seconds from `from` on until goodput stays within `share` of what it was in [before, from); negative
+  // where it never does.
+  double recovery_s(Duration before, Duration from, Duration until, double share) const;
+  Json::Value to_json(const Scenario& s, bool series) const;
+};
+
+}  // namespace beechhill::emulator
--- /dev/null
+++ b/src/emulator/policy.h
@@ -0,0 +1,37 @@
+// What decides in an emulated proxy: the real module, or one of the plain policies it is measured against. All
+// speak the module's own events and actions.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "beechhill/balancer.h"
+
+namespace beechhill::emulator {
+
+class Policy {
+ public:
+  virtual ~Policy() = default;
+  // As Balancer::handle: one event at `now`, which never goes back; actions are appended in order.
+  virtual void handle(Time now, const Event& event, std::vector<Action>& actions) = 0;
+};
+
+// The true state of a tier's nodes, for the oracle alone.
+class TrueState {
+ public:
+  virtual ~TrueState() = default;
+  // Seconds until a core would be free for new work, were it sent now; a large number for a node that is
+  // silent, down, full or fails what it gets.
+  virtual double wait_s(Time now, std::uint32_t tier, ServerId node) const = 0;
+  // Whether a cold node can take one more job without coming near the rule's bound.
+  virtual bool spares(Time now, std::uint32_t tier, ServerId node) const = 0;
+};
+
+// Names: module, random, round_robin, two_choices, least_outstanding, weighted, oracle.
+const std::vector<std::string>& policy_names();
+// Null where the name is unknown. `truth` must outlive the policy.
+std::unique_ptr<Policy> make_policy(const std::string& name, Time now, const Settings& settings,
+                                    const TrueState& truth, std::vector<Action>& actions);
+
+}  // namespace beechhill::emulator
--- /dev/null
+++ b/src/emulator/world.cpp
@@ -0,0 +1,1037 @@
+#include "emulator/world.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace beechhill::emulator {
+namespace {
+
+constexpr double kNever = 1e9;            // seconds: a node that is no use
+constexpr Duration kListAgain{100'000};   // a proxy that starts again has the whole list after this
+constexpr std::uint64_t kWholeList = ~0ULL;
+constexpr Duration kFastError{500};       // a failing node fails this fast
+
+double to_s(Duration d) { return std::chrono::duration<double>(d).count(); }
+Duration to_span(double s) { return Duration(std::llround(s * 1e6)); }
+
+}  // namespace
+
+World::World(Scenario scenario, MakePolicy make_policy)
+    : s_(std::move(scenario)),
+      make_policy_(std::move(make_policy)),
+      metrics_(s_),
+      rules_(s_),
+      arrivals_(s_.seed, Actor::kArrivals, 0),
+      client_random_(s_.seed, Actor::kClients, 0),
+      list_random_(s_.seed, Actor::kDiscovery, 0),
+      nodes_(s_.tiers.size()),
+      by_tier_(s_.tiers.size()),
+      struck_(s_.faults.size()) {
+  mean_rate_ = rate_per_s(s_);
+  double parts = 0;
+  for (const ClassSpec& c : s_.classes) parts += c.part, usual_work_ += c.part * c.work_s;
+  usual_work_ /= parts;
+  double most = 1;
+  if (s_.load.shape == Shape::kDiurnal) most = 1 + s_.load.swing;
+  if (s_.load.shape == Shape::kBursts) most = std::max(1.0, s_.load.burst_factor);
+  for (const FaultSpec& f : s_.faults)
+    if (f.kind == FaultKind::kBurst || f.kind == FaultKind::kTenantBurst) most *= std::max(1.0, f.factor);
+  most_rate_ = mean_rate_ * most;
+  for (const TenantSettings& t : settings_for(s_, 0, 0, 1, 0).tenants) allowances_.push_back(t.allowance_per_s);
+  tokens_ = allowances_;  // a second's worth in reserve
+  filled_.assign(allowances_.size(), Time{0});
+
+  for (std::uint32_t i = 0; i < s_.proxies; ++i) add_proxy(0, i % s_.tiers[0].zones);
+  for (std::uint32_t t = 0; t < s_.tiers.size(); ++t)
+    for (std::uint32_t i = 0; i < s_.tiers[t].nodes; ++i) add_node(t, std::nullopt);
+  for (std::uint32_t p = 0; p < proxies_.size(); ++p) start_proxy(p);
+  connections_.resize(s_.clients.connections);
+  for (std::size_t i = 0; i < connections_.size(); ++i)
+    connections_[i] = static_cast<std::uint32_t>(i % s_.proxies);
+  for (std::size_t f = 0; f < s_.faults.size(); ++f) queue_.add(s_.faults[f].at, Kind::kFaultBegins, f);
+  Duration longest{0};
+  for (const ClassSpec& c : s_.classes) longest = std::max(longest, c.settings.deadline);
+  end_ = s_.length + longest + s_.answer_grace + std::chrono::seconds(1);
+  metrics_.seconds.resize(static_cast<std::size_t>(to_s(end_)) + 1);
+  for (std::size_t i = 0; i < metrics_.seconds.size(); ++i)
+    queue_.add(std::chrono::seconds(i + 1), Kind::kSecond, i);
+}
+
+// ---- Building
+
+ServerId World::add_node(std::uint32_t tier, std::optional<Time> born) {
+  const auto id = static_cast<ServerId>(nodes_[tier].size());
+  const TierSpec& spec = s_.tiers[tier];
+  nodes_[tier].emplace_back(spec, s_.seed, (static_cast<std::uint64_t>(tier) << 24) + id, born, now_);
+  NodeState& n = nodes_[tier].back();
+  n.entry.server = id;
+  n.entry.cell = id / spec.cell_size;
+  n.entry.zone = n.entry.cell % spec.zones;  // a cell stands in one zone
+  n.entry.born = born;
+  n.cold = born.has_value();
+  if (tier + 1 < s_.tiers.size()) n.below = add_proxy(tier + 1, n.entry.zone);
+  return id;
+}
+
+std::uint32_t World::add_proxy(std::uint32_t tier, std::uint32_t zone) {
+  const auto index = static_cast<std::uint32_t>(proxies_.size());
+  Proxy& p = proxies_.emplace_back();
+  p.tier = tier;
+  p.zone = zone;
+  p.index = index;
+  p.random = Stream(s_.seed, Actor::kProxy, index);
+  by_tier_[tier].push_back(index);
+  return index;
+}
+
+void World::start_proxy(std::uint32_t index) {
+  Proxy& p = proxies_[index];
+  const bool again = p.life > 0;
+  p.alive = true;
+  ++p.life;
+  const auto replicas = static_cast<std::uint32_t>(p.tier == 0 ? s_.proxies : s_.tiers[p.tier - 1].nodes);
+  std::vector<Action> actions;
+  p.policy = make_policy_(now_, settings_for(s_, p.tier, p.zone, replicas, p.random.bits()), *this, actions);
+  perform(index, actions);
+  if (again) {
+    Discovery last{ListKind::kLastHeld, {}};
+    for (const Held& h : p.list)
+      if (h.known) last.entries.push_back(h.entry);
+    drive(index, last);
+    queue_.add(now_ + kListAgain, Kind::kTold, index, p.life, kWholeList);
+  } else {
+    told(index, kWholeList);
+  }
+}
+
+// ---- Clients
+
+double World::tenant_weight(std::size_t tenant, Time t) const {
+  double weight = s_.tenants[tenant].part;
+  for (const FaultSpec& f : s_.faults)
+    if (f.kind == FaultKind::kTenantBurst && f.tenant == tenant && t >= f.at && t < f.at + f.length)
+      weight *= f.factor;
+  return weight;
+}
+
+double World::rate_at(Time t) const {
+  double rate = mean_rate_;
+  const double turn = std::fmod(to_s(t), to_s(s_.load.period));
+  if (s_.load.shape == Shape::kDiurnal)
+    rate *= 1 - s_.load.swing * std::cos(2 * M_PI * turn / to_s(s_.load.period));
+  if (s_.load.shape == Shape::kBursts && turn < to_s(s_.load.burst_length)) rate *= s_.load.burst_factor;
+  for (const FaultSpec& f : s_.faults)
+    if (f.kind == FaultKind::kBurst && t >= f.at && t < f.at + f.length) rate *= f.factor;
+  if (!s_.tenants.empty()) {
+    double usual = 0, present = 0;
+    for (std::size_t i = 0; i < s_.tenants.size(); ++i)
+      usual += s_.tenants[i].part, present += tenant_weight(i, t);
+    rate *= present / usual;
+  }
+  return rate;
+}
+
+// The next arrival of a rate that changes: drawn at the highest rate, kept in proportion.
+void World::next_arrival() {
+  Time t = now_;
+  for (;;) {
+    t += std::max(Duration{1}, to_span(arrivals_.exponential(1 / most_rate_)));
+    if (t >= s_.length) return;
+    if (arrivals_.uniform() * most_rate_ < rate_at(t)) break;
+  }
+  queue_.add(t, Kind::kArrival);
+}
+
+void World::arrive() {
+  Op op;
+  op.first = now_;
+  double left = 0;
+  for (const ClassSpec& c : s_.classes) left += c.part;
+  left *= arrivals_.uniform();
+  while (op.c + 1 < s_.classes.size() && (left -= s_.classes[op.c].part) >= 0) ++op.c;
+  const ClassSpec& c = s_.classes[op.c];
+  if (!s_.tenants.empty()) {
+    double all = 0;
+    for (std::size_t i = 0; i < s_.tenants.size(); ++i) all += tenant_weight(i, now_);
+    double at = all * arrivals_.uniform();
+    op.tenant = 0;
+    while (op.tenant + 1 < s_.tenants.size() && (at -= tenant_weight(op.tenant, now_)) >= 0) ++op.tenant;
+  }
+  if (c.spread == Spread::kExponential) {
+    op.work = arrivals_.exponential(c.work_s);
+  } else if (c.spread == Spread::kLognormal && c.variation > 0) {
+    op.work = arrivals_.lognormal(c.work_s, c.variation);
+  } else {
+    op.work = c.work_s;
+  }
+  op.connection = static_cast<std::uint32_t>(arrivals_.below(connections_.size()));
+  op.until = now_ + c.settings.deadline;
+  op.worth = c.settings.worth;
+  if (op.tenant < allowances_.size() && allowances_[op.tenant] > 0) {
+    double& tokens = tokens_[op.tenant];
+    const double rate = allowances_[op.tenant];
+    tokens = std::min(rate, tokens + rate * to_s(now_ - filled_[op.tenant]));
+    filled_[op.tenant] = now_;
+    if (tokens < 1) {
+      op.worth *= s_.load.over_share_worth;
+    } else {
+      tokens -= 1;
+    }
+  }
+  if (Second* w = second_of(now_)) w->asked += 1, w->worth_asked += op.worth;
+  if (counted(now_)) {
+    for (Count* k : {&metrics_.all, &metrics_.by_class[op.c]}) k->asked += 1, k->worth_asked += op.worth;
+    if (op.tenant != kNoTenant) {
+      metrics_.by_tenant[op.tenant].asked += 1;
+      metrics_.by_tenant[op.tenant].worth_asked += op.worth;
+    }
+  }
+  try_now(ops_.add(op));
+}
+
+Second* World::second_of(Time t) {
+  const auto i = static_cast<std::size_t>(t / std::chrono::seconds(1));
+  return i < metrics_.seconds.size() ? &metrics_.seconds[i] : nullptr;
+}
+
+void World::try_now(std::uint64_t id) {
+  Op& op = *ops_.find(id);
+  ++op.tries;
+  if (counted(op.first)) ++metrics_.tries;
+  if (Second* w = second_of(now_)) ++w->tries;
+  std::uint32_t& at = connections_[op.connection];
+  if (!proxies_[at].alive) {
+    // The front knows a dead proxy only after a while; until then a new connection may meet it again.
+    std::vector<std::uint32_t> offered;
+    for (const std::uint32_t p : by_tier_[0])
+      if (proxies_[p].alive || now_ < proxies_[p].died + s_.proxy_notice) offered.push_back(p);
+    if (!offered.empty()) at = offered[client_random_.below(offered.size())];
+    if (offered.empty() || !proxies_[at].alive) {
+      ++metrics_.unreachable;
+      return end_try(id, nullptr, false, false, true, Duration{0}, 0);
+    }
+  }
+  const ClassSettings& k = s_.classes[op.c].settings;
+  const Duration patience = to_span(to_s(k.deadline) * client_random_.uniform(s_.clients.patience));
+  Call call;
+  call.proxy = at;
+  call.op = id;
+  call.c = op.c;
+  call.tenant = op.tenant;
+  call.deadline = std::min(op.until, now_ + std::max(patience, Duration{1}));
+  call.work = op.work;
+  open_call(std::move(call));
+}
+
+void World::end_try(std::uint64_t id, const Call* call, bool ok, bool refused, bool unreachable, Duration advice,
+                    double useful) {
+  Op* found = ops_.find(id);
+  if (!found) return;
+  Op& op = *found;
+  if (ok) return end_op(id, true, useful);
+  op.last = refused ? Op::Last::kRefused : Op::Last::kFailed;
+  if (Second* w = second_of(now_)) (refused ? w->refused : w->failed) += 1;
+  const ClassSettings& k = s_.classes[op.c].settings;
+  const bool harmless = refused || unreachable || k.effect == Effect::kRepeatable ||
+                        (k.effect == Effect::kKeyed && k.group == Group::kAll);
+  Duration wait{0};
+  if (s_.clients.retry == Retry::kAfter || (s_.clients.retry == Retry::kAdvised && advice == Duration{0})) {
+    const double grown = to_s(s_.clients.wait) * std::pow(s_.clients.growth, op.tries - 1);
+    wait = to_span(grown * (0.5 + client_random_.uniform()));  // clients that failed together spread out
+  } else if (s_.clients.retry == Retry::kAdvised) {
+    wait = to_span(to_s(std::min(advice, s_.clients.longest_advice)) * (1 + 0.2 * client_random_.uniform()));
+  }
+  const bool again = s_.clients.retry != Retry::kNever && harmless && op.tries <= s_.clients.retries &&
+                     now_ + wait < op.until;
+  if (!again) return end_op(id, false, 0);
+  if (call == nullptr && wait == Duration{0}) wait = s_.network;  // a refused connection takes its time too
+  queue_.add(now_ + wait, Kind::kTry, id);
+}
+
+void World::end_op(std::uint64_t id, bool served, double useful) {
+  const Op op = *ops_.find(id);
+  ops_.remove(id);
+  const ClassSettings& k = s_.classes[op.c].settings;
+  const Duration took = now_ - op.first;
+  const bool in_aim = served && took <= k.aim;
+  const double worth = !served ? 0 : in_aim ? op.worth : op.worth * k.late_worth;
+  if (served) metrics_.work_useful += useful;
+  if (Second* w = second_of(op.first)) w->worth_served += worth, w->in_aim += in_aim;
+  if (!counted(op.first)) return;
+  if (served) metrics_.latency[op.c].add(took), metrics_.latency_all.add(took);
+  const auto book = [&](Count& c) {
+    c.worth_served += worth;
+    c.in_aim += in_aim;
+    c.late += served && !in_aim;
+    c.refused += !served && op.last == Op::Last::kRefused;
+    c.failed += !served && op.last == Op::Last::kFailed;
+  };
+  book(metrics_.all);
+  book(metrics_.by_class[op.c]);
+  if (op.tenant != kNoTenant) book(metrics_.by_tenant[op.tenant]);
+}
+
+// ---- Proxies
+
+std::uint64_t World::open_call(Call call) {
+  const std::uint32_t proxy = call.proxy;
+  Proxy& p = proxies_[proxy];
+  call.place = p.calls.size();
+  Request r;
+  r.class_id = call.c;
+  r.tenant = call.tenant;
+  r.deadline = call.deadline;
+  const std::uint64_t id = calls_.add(std::move(call));
+  r.id = id;
+  p.calls.push_back(id);
+  rules_.taken(now_, id, r.class_id, r.deadline);
+  queue_.add(r.deadline, Kind::kDeadline, id);
+  ++metrics_.decisions;
+  drive(proxy, r);
+  return id;
+}
+
+void World::drive(std::uint32_t proxy, const Event& event) {
+  std::vector<Action> actions;
+  proxies_[proxy].policy->handle(now_, event, actions);
+  perform(proxy, actions);
+}
+
+void World::perform(std::uint32_t proxy, const std::vector<Action>& actions) {
+  for (const Action& action : actions) std::visit([&](const auto& a) { act(proxy, a); }, action);
+  // What is moot at once is told after the actions, as the real proxy does.
+  if (driving_) return;
+  driving_ = true;
+  while (!own_.empty()) {
+    const std::vector<Own> own = std::move(own_);
+    own_.clear();
+    for (const Own& o : own) outcome(o.call, o.attempt, Result::kMoot, {}, 0);
+  }
+  driving_ = false;
+}
+
+Duration World::hop(Proxy& proxy, std::uint32_t zone) {
+  const double spread = 1 + s_.network_spread * (2 * proxy.random.uniform() - 1);
+  return to_span(to_s(s_.network) * spread) + (proxy.zone != zone ? s_.cross_zone : Duration{0});
+}
+
+bool World::blocked(const Proxy& proxy, std::uint32_t tier, ServerId node) const {
+  for (const Cut& cut : cuts_)
+    if (s_.faults[cut.fault].tier == tier && proxy.index < cut.proxies.size() && cut.proxies[proxy.index] &&
+        node < cut.nodes.size() && cut.nodes[node])
+      return true;
+  return false;
+}
+
+void World::act(std::uint32_t proxy, const Send& a) {
+  Proxy& p = proxies_[proxy];
+  Call* c = calls_.find(a.id);
+  if (!c || c->proxy != proxy || a.server >= p.list.size()) {
+    rules_.sent(now_, a.id, p.tier, a.server, {}, std::nullopt);
+    return;
+  }
+  const Held& held = p.list[a.server];
+  rules_.sent(now_, a.id, p.tier, a.server, held.entry, held.told);
+  const auto attempt = static_cast<std::uint32_t>(c->attempts.size());
+  c->attempts.push_back({a.server, true, 0});
+  ++c->out;
+  if (c->over || now_ >= c->deadline || c->attempts.size() > s_.tries) {
+    own_.push_back({a.id, attempt});
+    return;
+  }
+  if (p.tier == 0 && counted(now_)) ++metrics_.attempts;
+  if (Second* w = second_of(now_)) ++w->attempts;
+  NodeState& n = nodes_[p.tier][a.server];
+  const TierSpec& spec = s_.tiers[p.tier];
+  Job job;
+  job.tier = p.tier;
+  job.proxy = proxy;
+  job.node = a.server;
+  job.call = a.id;
+  job.attempt = attempt;
+  job.c = c->c;
+  job.tenant = c->tenant;
+  job.deadline = c->deadline;
+  job.work = c->work;
+  const double own = c->work * spec.work;
+  if (p.tier + 1 < s_.tiers.size()) {
+    const auto least = static_cast<std::uint32_t>(spec.calls.from), most = static_cast<std::uint32_t>(spec.calls.to);
+    job.calls_left = least + static_cast<std::uint32_t>(n.random.below(most - least + 1));
+  }
+  job.first = job.calls_left > 0 ? own / 2 : own;
+  job.second = job.calls_left > 0 ? own / 2 : 0;
+  Connections& links = p.connections[a.server];
+  if (links.used + spec.idle_close < now_) links.idle = 0;
+  if (links.used == Time{0}) ++metrics_.pairs;
+  links.used = std::max(now_, Time{1});
+  Duration trip = hop(p, n.entry.zone);
+  if (links.idle > 0) {
+    --links.idle;
+  } else {
+    ++metrics_.connections;
+    job.new_connection = true;
+    job.handshake = to_s(spec.handshake_work);
+    job.first += job.handshake;
+    trip += spec.handshake + 2 * s_.network;
+  }
+  n.inbound += job.first;
+  const bool opens = job.new_connection;
+  const bool reaches = n.mode == Mode::kUp && !blocked(p, p.tier, a.server);
+  const std::uint64_t id = jobs_.add(std::move(job));
+  c->attempts[attempt].job = id;
+  if (!reaches && opens && n.mode != Mode::kDown) {
+    jobs_.find(id)->result = Result::kConnectFailed;
+    queue_.add(now_ + s_.connect_timeout, Kind::kOutcome, id);
+  } else {
+    queue_.add(now_ + trip, Kind::kJobArrives, id);
+  }
+  if (a.time_out > Duration{0} && now_ + a.time_out < c->deadline)
+    queue_.add(now_ + a.time_out, Kind::kTimeout, a.id, attempt);
+}
+
+void World::act(std::uint32_t, const Cancel& a) {
+  Call* c = calls_.find(a.id);
+  if (!c || a.attempt >= c->attempts.size() || !c->attempts[a.attempt].open) return;
+  const std::uint64_t id = c->attempts[a.attempt].job;
+  if (Job* job = jobs_.find(id)) {
+    job->cancelled = true;
+    std::vector<Start> starts;
+    NodeState& n = nodes_[job->tier][job->node];
+    if (job->there && s_.tiers[job->tier].cancel_stops && n.model.withdraw(now_, id, starts)) {
+      unlist_job(id);
+      jobs_.remove(id);
+      schedule(starts);
+    }
+  }
+  queue_.add(now_, Kind::kCancelled, a.id, a.attempt);
+}
+
+void World::act(std::uint32_t proxy, const Probe& a) {
+  Proxy& p = proxies_[proxy];
+  ++metrics_.probes;
+  const NodeState& n = nodes_[p.tier][a.server];
+  const bool answers = n.mode == Mode::kUp && !blocked(p, p.tier, a.server);
+  const Duration after = answers ? hop(p, n.entry.zone) + hop(p, n.entry.zone) : s_.connect_timeout;
+  queue_.add(now_ + after, Kind::kProbeDone, proxy, p.life, a.server, answers);
+}
+
+void World::act(std::uint32_t proxy, const SetTimer& a) {
+  queue_.add(std::max(a.at, now_), Kind::kTimer, proxy, proxies_[proxy].life, a.token);
+}
+
+void World::answer(std::uint32_t proxy, RequestId id, bool refused, Duration advice) {
+  Call* c = calls_.find(id);
+  rules_.answered(now_, id, refused);
+  if (!c || c->proxy != proxy || c->over) return;
+  c->over = true;
+  if (c->parent) {
+    sub_answered(c->parent, false, 0);
+  } else {
+    end_try(c->op, c, false, refused, false, advice, 0);
+  }
+  tidy(id);
+}
+
+void World::outcome(std::uint64_t id, std::uint32_t attempt, Result result, const LoadReport& report,
+                    double useful) {
+  Call* c = calls_.find(id);
+  if (!c || attempt >= c->attempts.size() || !c->attempts[attempt].open) return;
+  c->attempts[attempt].open = false;
+  --c->out;
+  rules_.ended(now_, id, attempt, result);
+  if (result == Result::kOk && !c->over) {
+    c->over = true;
+    rules_.answered(now_, id, false);
+    if (c->parent) {
+      sub_answered(c->parent, true, useful);
+    } else {
+      end_try(c->op, c, true, false, false, Duration{0}, useful);
+    }
+  }
+  const std::uint32_t proxy = c->proxy;
+  drive(proxy, Outcome{id, attempt, result, c->over, report});
+  tidy(id);
+}
+
+void World::tidy(std::uint64_t id) {
+  const Call* c = calls_.find(id);
+  if (c && c->over && c->out == 0) drop_call(id);
+}
+
+void World::drop_call(std::uint64_t id) {
+  const Call& c = *calls_.find(id);
+  Proxy& p = proxies_[c.proxy];
+  const std::size_t place = c.place;
+  p.calls[place] = p.calls.back();
+  calls_.find(p.calls[place])->place = place;
+  p.calls.pop_back();
+  rules_.forget(id);
+  calls_.remove(id);
+}
+
+// The deadline ends what is still out: the proxy waits no longer.
+void World::deadline(std::uint64_t id) {
+  Call* c = calls_.find(id);
+  if (!c) return;
+  if (!c->over) queue_.add(now_ + s_.answer_grace + Duration{1}, Kind::kOverdue, id);
+  const std::size_t attempts = c->attempts.size();
+  for (std::uint32_t i = 0; i < attempts; ++i) {
+    outcome(id, i, Result::kTimeout, {}, 0);
+    if (!calls_.find(id)) return;
+  }
+}
+
+// ---- Nodes
+
+double World::wait_s(Time now, std::uint32_t tier, ServerId node) const {
+  const NodeState& n = nodes_[tier][node];
+  if (n.mode != Mode::kUp || n.errors > 0.1) return kNever;
+  const TierSpec& spec = s_.tiers[tier];
+  if (n.model.in_hand() >= static_cast<std::size_t>(spec.slots) + spec.room) return kNever;
+  return n.model.backlog_s(now) + (n.inbound + usual_work_ * spec.work) / n.model.capacity(now);
+}
+
+bool World::spares(Time now, std::uint32_t tier, ServerId node) const {
+  const NodeState& n = nodes_[tier][node];
+  return !n.model.cold(now) || n.model.in_hand() < s_.tiers[tier].cores;
+}
+
+void World::schedule(const std::vector<Start>& starts) {
+  for (const Start& start : starts) queue_.add(start.until, Kind::kPhaseDone, start.job);
+}
+
+void World::job_arrives(std::uint64_t id) {
+  Job& job = *jobs_.find(id);
+  NodeState& n = nodes_[job.tier][job.node];
+  const Proxy& p = proxies_[job.proxy];
+  n.inbound = std::max(0.0, n.inbound - job.first);
+  if (n.mode == Mode::kDown) return send_back(id, Result::kConnectFailed);
+  if (n.mode == Mode::kSilent || blocked(p, job.tier, job.node)) return jobs_.remove(id);  // never heard of again
+  const TierSpec& spec = s_.tiers[job.tier];
+  if (n.cold) {
+    if (!n.model.cold(now_)) {
+      n.cold = false;
+      rules_.node_warm(job.tier, job.node);
+    } else {
+      const Held& held = p.list[job.node];
+      const bool aware = held.known && held.entry.born == n.entry.born;
+      if (rules_.pressed(now_, job.tier, job.node, job.first + job.second, n.model.capacity(now_),
+                         usual_work_ * spec.work, aware)) {
+        ++metrics_.tipped;
+        node_down(job.tier, job.node, false);
+        return send_back(id, Result::kReset);
+      }
+    }
+  }
+  if (n.errors > 0 && n.random.uniform() < n.errors) {
+    job.report = n.model.report(now_, n.late);
+    return send_back(id, Result::kError);
+  }
+  std::vector<Start> starts;
+  if (!n.model.take(now_, id, job.first, starts)) {
+    job.report = n.model.report(now_, n.late);
+    return send_back(id, Result::kFull);
+  }
+  job.there = true;
+  job.life = n.life;
+  job.place = n.jobs.size();
+  n.jobs.push_back(id);
+  schedule(starts);
+}
+
+void World::phase_done(std::uint64_t id) {
+  Job* found = jobs_.find(id);
+  if (!found) return;  // lost with its node
+  Job& job = *found;
+  NodeState& n = nodes_[job.tier][job.node];
+  const double did = job.last_phase ? job.second : job.first;
+  job.done += did - (job.last_phase ? 0 : job.handshake);
+  metrics_.work_done += did;
+  if (!job.last_phase && job.calls_left > 0) {
+    std::vector<Start> starts;
+    n.model.phase_done(now_, false, starts);
+    schedule(starts);
+    queue_.add(now_, Kind::kSubCall, id);
+    return;
+  }
+  const double errors = s_.tiers[job.tier].errors;
+  const bool fails = errors > 0 && n.random.uniform() < errors;
+  end_job(id, fails ? Result::kError : Result::kOk, true);
+}
+
+void World::sub_call(std::uint64_t id) {
+  Job* job = jobs_.find(id);
+  if (!job) return;
+  if (now_ >= job->deadline || (job->cancelled && s_.tiers[job->tier].cancel_stops))
+    return end_job(id, Result::kError, false);
+  --job->calls_left;
+  const std::uint32_t below = nodes_[job->tier][job->node].below;
+  if (!proxies_[below].alive) return end_job(id, Result::kError, false);
+  Call call;
+  call.proxy = below;
+  call.parent = id;
+  call.c = job->c;
+  call.tenant = job->tenant;
+  call.deadline = job->deadline;
+  call.work = job->work;
+  open_call(std::move(call));
+}
+
+void World::sub_answered(std::uint64_t id, bool ok, double useful) {
+  Job* job = jobs_.find(id);
+  if (!job) return;
+  if (!ok) return end_job(id, Result::kError, false);
+  job->done += useful;
+  if (job->calls_left > 0) {
+    queue_.add(now_, Kind::kSubCall, id);
+    return;
+  }
+  job->last_phase = true;
+  std::vector<Start> starts;
+  nodes_[job->tier][job->node].model.resume(now_, id, job->second, starts);
+  schedule(starts);
+}
+
+void World::end_job(std::uint64_t id, Result result, bool holds_core) {
+  Job& job = *jobs_.find(id);
+  NodeState& n = nodes_[job.tier][job.node];
+  std::vector<Start> starts;
+  if (holds_core) {
+    n.model.phase_done(now_, true, starts);
+  } else {
+    n.model.leave(now_, starts);
+  }
+  unlist_job(id);
+  schedule(starts);
+  job.report = n.model.report(now_, n.late);
+  send_back(id, result);
+}
+
+void World::unlist_job(std::uint64_t id) {
+  Job& job = *jobs_.find(id);
+  NodeState& n = nodes_[job.tier][job.node];
+  n.jobs[job.place] = n.jobs.back();
+  jobs_.find(n.jobs[job.place])->place = job.place;
+  n.jobs.pop_back();
+  job.there = false;
+}
+
+void World::send_back(std::uint64_t id, Result result) {
+  Job& job = *jobs_.find(id);
+  Proxy& p = proxies_[job.proxy];
+  const NodeState& n = nodes_[job.tier][job.node];
+  if (n.mode == Mode::kSilent || blocked(p, job.tier, job.node)) return jobs_.remove(id);
+  job.result = result;
+  const Duration made = result == Result::kError ? kFastError : Duration{0};
+  queue_.add(now_ + made + hop(p, n.entry.zone), Kind::kOutcome, id);
+}
+
+void World::lose_jobs(std::uint32_t tier, ServerId node, bool reset) {
+  const std::vector<std::uint64_t> lost = std::move(nodes_[tier][node].jobs);
+  nodes_[tier][node].jobs.clear();
+  for (const std::uint64_t id : lost) {
+    Job& job = *jobs_.find(id);
+    job.there = false;
+    if (!reset) {
+      jobs_.remove(id);
+      continue;
+    }
+    // The answer to it is on a new id: what its node still has scheduled for the old one is void.
+    Job gone = job;
+    gone.result = Result::kReset;
+    gone.report = {};
+    jobs_.remove(id);
+    Proxy& p = proxies_[gone.proxy];
+    const Duration trip = hop(p, nodes_[tier][node].entry.zone);
+    queue_.add(now_ + trip, Kind::kOutcome, jobs_.add(std::move(gone)));
+  }
+}
+
+// ---- Discovery and faults
+
+void World::tell(std::uint32_t tier, const ServerEntry& entry, Duration more) {
+  messages_.push_back(Discovery{ListKind::kChanges, {entry}});
+  for (const std::uint32_t index : by_tier_[tier]) {
+    Proxy& p = proxies_[index];
+    const Duration lag = s_.list_lag + to_span(to_s(s_.list_spread) * list_random_.uniform()) + stale_ + more;
+    p.last_told = std::max(now_ + lag, p.last_told + Duration{1});  // in order
+    queue_.add(p.last_told, Kind::kTold, index, p.life, messages_.size() - 1);
+  }
+}
+
+void World::hold(Proxy& p, const ServerEntry& e) {
+  if (p.list.size() <= e.server) p.list.resize(e.server + 1);
+  Held& h = p.list[e.server];
+  const bool was_up = h.known && h.entry.state == ServerState::kUp;
+  h.entry = e;
+  if (e.state == ServerState::kUp) {
+    h.told.reset();
+  } else if (was_up || !h.told) {
+    h.told = now_;
+  }
+  h.known = true;
+}
+
+void World::told(std::uint32_t index, std::uint64_t message) {
+  Proxy& p = proxies_[index];
+  if (message != kWholeList) {
+    for (const ServerEntry& e : messages_[message].entries) hold(p, e);
+    drive(index, messages_[message]);
+    return;
+  }
+  Discovery whole{ListKind::kFull, {}};
+  for (const NodeState& n : nodes_[p.tier])
+    if (n.entry.state != ServerState::kRemoved) whole.entries.push_back(n.entry);
+  for (Held& h : p.list)
+    if (h.known && h.entry.state == ServerState::kUp && nodes_[p.tier][h.entry.server].entry.state == ServerState::kRemoved)
+      h.entry.state = ServerState::kRemoved, h.told = now_;
+  for (const ServerEntry& e : whole.entries) hold(p, e);
+  drive(index, whole);
+}
+
+std::vector<ServerId> World::victims(const FaultSpec& f, std::size_t fault) const {
+  std::vector<ServerId> all, chosen;
+  for (const NodeState& n : nodes_[f.tier]) {
+    if (f.zone >= 0 && n.entry.zone != static_cast<std::uint32_t>(f.zone)) continue;
+    if (f.cell >= 0 && n.entry.cell != static_cast<std::uint32_t>(f.cell)) continue;
+    if (n.entry.state == ServerState::kUp) all.push_back(n.entry.server);
+  }
+  std::size_t count = f.nodes > 0 ? f.nodes : static_cast<std::size_t>(std::llround(f.part * static_cast<double>(all.size())));
+  if (f.nodes == 0 && f.part <= 0) count = all.size();
+  if (f.nodes == 0 && f.part > 0) count = std::max<std::size_t>(1, count);
+  Stream random(s_.seed, Actor::kFaults, fault);
+  while (chosen.size() < count && !all.empty()) {
+    const std::size_t i = random.below(all.size());
+    chosen.push_back(all[i]);
+    all[i] = all.back();
+    all.pop_back();
+  }
+  std::sort(chosen.begin(), chosen.end());
+  return chosen;
+}
+
+void World::node_down(std::uint32_t tier, ServerId node, bool silent) {
+  NodeState& n = nodes_[tier][node];
+  n.mode = silent ? Mode::kSilent : Mode::kDown;
+  ++n.life;
+  lose_jobs(tier, node, !silent);
+  n.model.restart(now_, now_);
+  rules_.node_warm(tier, node);
+  for (const std::uint32_t p : by_tier_[tier]) proxies_[p].connections[node].idle *= silent;
+  if (tier + 1 < s_.tiers.size()) kill_proxy(n.below);
+}
+
+void World::node_back(std::uint32_t tier, ServerId node) {
+  NodeState& n = nodes_[tier][node];
+  if (n.entry.state == ServerState::kRemoved) return;  // replaced meanwhile
+  n.mode = Mode::kUp;
+  n.model.restart(now_, now_);
+  n.cold = true;
+  n.entry.born = now_;
+  n.entry.state = ServerState::kUp;
+  for (const std::uint32_t p : by_tier_[tier]) proxies_[p].connections[node].idle = 0;
+  if (tier + 1 < s_.tiers.size()) start_proxy(n.below);
+  tell(tier, n.entry);
+}
+
+void World::kill_proxy(std::uint32_t index) {
+  Proxy& p = proxies_[index];
+  if (!p.alive) return;
+  p.alive = false;
+  ++p.life;  // its timers, and what it was to be told, are void
+  p.died = now_;
+  p.connections.clear();
+  const std::vector<std::uint64_t> lost = p.calls;
+  for (const std::uint64_t id : lost) {
+    Call& c = *calls_.find(id);
+    const bool waits = !c.over;
+    const std::uint64_t op = c.op, parent = c.parent;
+    drop_call(id);
+    if (waits && !parent) end_try(op, nullptr, false, false, false, Duration{0}, 0);
+  }
+  p.policy.reset();
+}
+
+void World::begin_fault(std::size_t fault) {
+  const FaultSpec& f = s_.faults[fault];
+  struck_[fault] = victims(f, fault);
+  auto& nodes = nodes_[f.tier];
+  queue_.add(f.at + f.length, Kind::kFaultEnds, fault);
+  switch (f.kind) {
+    case FaultKind::kSilent:
+    case FaultKind::kCrash:
+      for (const ServerId id : struck_[fault]) {
+        node_down(f.tier, id, f.kind == FaultKind::kSilent);
+        ServerEntry gone = nodes[id].entry;
+        gone.state = ServerState::kRemoved;
+        const Duration notice = f.kind == FaultKind::kSilent ? s_.silent_notice : Duration{0};
+        if (f.kind == FaultKind::kCrash || (notice > Duration{0} && notice < f.length)) tell(f.tier, gone, notice);
+      }
+      break;
+    case FaultKind::kErrors:
+      for (const ServerId id : struck_[fault]) nodes[id].errors = f.factor;
+      break;
+    case FaultKind::kSlow:
+      for (const ServerId id : struck_[fault]) nodes[id].model.slow_down(f.factor);
+      break;
+    case FaultKind::kLateReports:
+      for (NodeState& n : nodes) n.late = f.delay;
+      break;
+    case FaultKind::kStaleList:
+      stale_ = f.delay;
+      break;
+    case FaultKind::kDrain:
+      for (const ServerId id : struck_[fault]) {
+        nodes[id].entry.state = ServerState::kDraining;
+        tell(f.tier, nodes[id].entry);
+      }
+      break;
+    case FaultKind::kReplace:
+      replace(fault, 0);
+      break;
+    case FaultKind::kProxyCrash: {
+      const auto count = std::max<std::size_t>(
+          1, static_cast<std::size_t>(std::llround(f.part * static_cast<double>(by_tier_[0].size()))));
+      for (std::size_t i = 0; i < std::min(count, by_tier_[0].size()); ++i) kill_proxy(by_tier_[0][i]);
+      break;
+    }
+    case FaultKind::kPartition: {
+      Cut cut;
+      cut.fault = fault;
+      cut.proxies.resize(proxies_.size());
+      cut.nodes.resize(nodes.size());
+      const auto& side = by_tier_[f.tier];
+      const auto count = std::max<std::size_t>(1, static_cast<std::size_t>(std::llround(static_cast<double>(side.size()) / 2)));
+      for (std::size_t i = 0; i < count; ++i) cut.proxies[side[i]] = true;
+      for (const ServerId id : struck_[fault]) cut.nodes[id] = true;
+      cuts_.push_back(std::move(cut));
+      break;
+    }
+    case FaultKind::kBurst:
+    case FaultKind::kTenantBurst:
+      break;  // the arrivals know
+  }
+}
+
+void World::end_fault(std::size_t fault) {
+  const FaultSpec& f = s_.faults[fault];
+  auto& nodes = nodes_[f.tier];
+  switch (f.kind) {
+    case FaultKind::kSilent:
+    case FaultKind::kCrash:
+      for (const ServerId id : struck_[fault]) node_back(f.tier, id);
+      break;
+    case FaultKind::kErrors:
+      for (const ServerId id : struck_[fault]) nodes[id].errors = 0;
+      break;
+    case FaultKind::kSlow:
+      for (const ServerId id : struck_[fault]) nodes[id].model.slow_down(1);
+      break;
+    case FaultKind::kLateReports:
+      for (NodeState& n : nodes) n.late = Duration{0};
+      break;
+    case FaultKind::kStaleList:
+      stale_ = Duration{0};
+      break;
+    case FaultKind::kDrain:  // it has been away for its upkeep, and starts again
+      for (const ServerId id : struck_[fault]) {
+        node_down(f.tier, id, false);
+        node_back(f.tier, id);
+      }
+      break;
+    case FaultKind::kProxyCrash:
+      for (const std::uint32_t p : by_tier_[0])
+        if (!proxies_[p].alive) start_proxy(p);
+      break;
+    case FaultKind::kPartition:
+      std::erase_if(cuts_, [fault](const Cut& c) { return c.fault == fault; });
+      break;
+    case FaultKind::kReplace:
+    case FaultKind::kBurst:
+    case FaultKind::kTenantBurst:
+      break;
+  }
+}
+
+// One node after another makes place for a new one, all within the fault's length.
+void World::replace(std::size_t fault, std::uint64_t done) {
+  const FaultSpec& f = s_.faults[fault];
+  const std::uint32_t count = s_.tiers[f.tier].nodes;
+  if (done >= count) return;
+  NodeState& old = nodes_[f.tier][done];
+  if (old.entry.state == ServerState::kUp) {
+    const ServerId fresh = add_node(f.tier, now_);
+    if (f.tier + 1 < s_.tiers.size()) start_proxy(nodes_[f.tier][fresh].below);
+    tell(f.tier, nodes_[f.tier][fresh].entry);
+    old.entry.state = ServerState::kDraining;
+    tell(f.tier, old.entry);
+    Duration longest{0};
+    for (const ClassSpec& c : s_.classes) longest = std::max(longest, c.settings.deadline);
+    queue_.add(now_ + s_.list_lag + s_.list_spread + s_.drain_grace + longest, Kind::kNodeGone, f.tier, done);
+  }
+  queue_.add(now_ + f.length / count, Kind::kReplace, fault, done + 1);
+}
+
+void World::close_second(std::uint64_t window) {
+  Second& w = metrics_.seconds[window];
+  double busy = 0, most = 0, all = 0, up = 0;
+  for (std::size_t t = 0; t < nodes_.size(); ++t)
+    for (NodeState& n : nodes_[t]) {
+      n.model.settle(now_);
+      busy += n.model.busy_core_s();
+      w.waiting += n.model.waiting();
+      if (t > 0 || n.mode != Mode::kUp || n.entry.state != ServerState::kUp) continue;
+      const double load = static_cast<double>(n.model.in_hand()) / n.model.capacity(now_);
+      most = std::max(most, load), all += load, up += 1;
+    }
+  w.load_max_over_mean = all > 0 ? most * up / all : 1;
+  w.busy = busy - busy_before_;  // in core-seconds for now; a share of the cores at the end
+  busy_before_ = busy;
+}
+
+void World::happen(const Happening& h) {
+  const auto of_proxy = [&] { return proxies_[h.a].alive && proxies_[h.a].life == h.b; };
+  const auto index = static_cast<std::uint32_t>(h.a);
+  switch (h.kind) {
+    case Kind::kArrival:
+      arrive();
+      next_arrival();
+      break;
+    case Kind::kTry:
+      if (ops_.find(h.a)) try_now(h.a);
+      break;
+    case Kind::kSubCall:
+      sub_call(h.a);
+      break;
+    case Kind::kJobArrives:
+      if (jobs_.find(h.a)) job_arrives(h.a);
+      break;
+    case Kind::kPhaseDone:
+      phase_done(h.a);
+      break;
+    case Kind::kOutcome: {
+      const Job* job = jobs_.find(h.a);
+      if (!job) break;
+      const Job done = *job;
+      jobs_.remove(h.a);
+      // Only a connection whose answer came back whole, to a proxy that still waits, serves again.
+      if (done.result == Result::kOk || done.result == Result::kFull || done.result == Result::kError) {
+        const Call* c = calls_.find(done.call);
+        if (c && c->attempts[done.attempt].open && proxies_[done.proxy].alive) {
+          Connections& links = proxies_[done.proxy].connections[done.node];
+          ++links.idle;
+          links.used = now_;
+        }
+      }
+      outcome(done.call, done.attempt, done.result, done.report, done.done);
+      break;
+    }
+    case Kind::kTimeout:
+      outcome(h.a, static_cast<std::uint32_t>(h.b), Result::kTimeout, {}, 0);
+      break;
+    case Kind::kCancelled:
+      outcome(h.a, static_cast<std::uint32_t>(h.b), Result::kCancelled, {}, 0);
+      break;
+    case Kind::kDeadline:
+      deadline(h.a);
+      break;
+    case Kind::kOverdue:
+      if (Call* c = calls_.find(h.a); c && !c->over) {
+        rules_.overdue(now_, h.a);
+        c->over = true;
+        if (c->parent) {
+          sub_answered(c->parent, false, 0);
+        } else {
+          end_try(c->op, c, false, false, false, Duration{0}, 0);
+        }
+        drive(c->proxy, ClientGone{h.a});
+        tidy(h.a);
+      }
+      break;
+    case Kind::kTimer:
+      if (of_proxy()) drive(index, Timer{h.c});
+      break;
+    case Kind::kTold:
+      if (of_proxy()) told(index, h.c);
+      break;
+    case Kind::kProbeDone:
+      if (of_proxy()) {
+        const auto server = static_cast<ServerId>(h.c);
+        NodeState& n = nodes_[proxies_[index].tier][server];
+        const Result result = h.d ? Result::kOk : Result::kConnectFailed;
+        drive(index, ProbeResult{server, result, h.d ? n.model.report(now_, n.late) : LoadReport{}});
+      }
+      break;
+    case Kind::kFaultBegins:
+      begin_fault(h.a);
+      break;
+    case Kind::kFaultEnds:
+      end_fault(h.a);
+      break;
+    case Kind::kReplace:
+      replace(h.a, h.b);
+      break;
+    case Kind::kNodeGone: {
+      NodeState& n = nodes_[h.a][h.b];
+      node_down(static_cast<std::uint32_t>(h.a), static_cast<ServerId>(h.b), false);
+      n.entry.state = ServerState::kRemoved;
+      tell(static_cast<std::uint32_t>(h.a), n.entry);
+      break;
+    }
+    case Kind::kSecond:
+      close_second(h.a);
+      break;
+  }
+}
+
+void World::run(const Progress& progress) {
+  next_arrival();
+  while (!queue_.empty() && queue_.top().at <= end_) {
+    const Happening h = queue_.top();
+    queue_.pop();
+    now_ = h.at;
+    ++metrics_.events;
+    happen(h);
+    if (h.kind == Kind::kSecond && progress) progress(std::min(1.0, to_s(now_) / to_s(end_)));
+  }
+  now_ = end_;
+  sum_up();
+}
+
+void World::sum_up() {
+  for (std::vector<Count>* counts : {&metrics_.by_class, &metrics_.by_tenant})
+    for (Count& c : *counts) c.unanswered = c.asked - c.in_aim - c.late - c.refused - c.failed;
+  Count& a = metrics_.all;
+  a.unanswered = a.asked - a.in_aim - a.late - a.refused - a.failed;
+  for (std::size_t t = 0; t < nodes_.size(); ++t) {
+    double busy = 0, waited = 0, present = 0, least = 1e18, most = 0;
+    std::uint64_t started = 0, longest = 0;
+    for (NodeState& n : nodes_[t]) {
+      n.model.settle(now_);
+      busy += n.model.busy_core_s();
+      waited += n.model.waited_s();
+      present += n.model.present_s();
+      started += n.model.started();
+      longest = std::max<std::uint64_t>(longest, n.model.most_waiting());
+      least = std::min(least, n.model.busy_core_s());
+      most = std::max(most, n.model.busy_core_s());
+    }
+    const auto nodes = static_cast<double>(nodes_[t].size());
+    Json::Value v;
+    v["name"] = s_.tiers[t].name;
+    v["nodes"] = static_cast<Json::UInt64>(nodes_[t].size());
+    v["jobs"] = static_cast<Json::UInt64>(started);
+    v["utilisation"] = busy / (nodes * s_.tiers[t].cores * to_s(s_.length));
+    v["mean_wait_s"] = started > 0 ? waited / static_cast<double>(started) : 0;
+    v["mean_present"] = present / to_s(s_.length);
+    v["most_waiting"] = static_cast<Json::UInt64>(longest);
+    v["busy_max_over_mean"] = busy > 0 ? most * nodes / busy : 1;
+    metrics_.tiers.push_back(v);
+  }
+  double cores = 0;
+  for (const TierSpec& t : s_.tiers) cores += static_cast<double>(t.nodes) * t.cores;
+  for (Second& w : metrics_.seconds) w.busy /= cores;
+  metrics_.seconds.resize(static_cast<std::size_t>(std::ceil(to_s(s_.length))));
+}
+
+}  // namespace beechhill::emulator
