Add sub-commands, an operator file and a structured log that never blocks the loop

Need: everything later hangs on one command line, one operator file and one log; and printf to a standard output whose reader stalls would have stopped the event loop.

Change: beechhill without arguments serves as before; serve, check (file, line and key; exit 2) and version are sub-commands (CLI11), and emulate, experiment, plot, nodes and demo are handed to beechhill-lab beside it. The log goes through a bounded queue to a writer thread (spdlog); the oldest lines are dropped and counted. The end line keeps its words. The operator file (TOML) is read in one place and refuses unknown keys.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,5 +1,6 @@
 #include "config/config.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <initializer_list>
@@ -15,7 +16,7 @@
 sockaddr_in address_in(const Json::Value& object, const char* key) {
   const auto text = get<std::string>(object, key);
   const auto address = net::parse_address(text);
-  if (!address) fault(key, "not an address and port: " + text);
+  if (!address) fault(key, "not an address and port: " + text, find(object, key));
   return *address;
 }
 
@@ -26,7 +27,7 @@
   const std::string text = value.asString();
   if (text.empty() || text.size() > 16 ||
       text.find_first_not_of("0123456789abcdefABCDEF") != std::string::npos)
-    fault("seed", "not up to 16 hexadecimal digits");
+    fault("seed", "not up to 16 hexadecimal digits", &value);
   return std::stoull(text, nullptr, 16);
 }
 
@@ -35,7 +36,7 @@
   if (word == "in_service") return ServerState::kUp;
   if (word == "terminating") return ServerState::kDraining;
   if (word == "terminated") return ServerState::kRemoved;
-  fault("health", "not one of in_service, terminating, terminated");
+  fault("health", "not one of in_service, terminating, terminated", find(row, "health"));
 }
 
 }  // namespace
@@ -54,7 +55,7 @@
     e.cell = get<std::uint32_t>(row, "block", 0);
     const auto born = get<Duration>(row, "born_ms", Duration{0}).count();
     // Guards against an overflow when the milliseconds become the module's microseconds.
-    if (born < 0 || born > 100'000'000'000'000) fault("born_ms", "not a time");
+    if (born < 0 || born > 100'000'000'000'000) fault("born_ms", "not a time", find(row, "born_ms"));
     e.born = std::chrono::milliseconds(born);
     pool.entries.push_back(std::move(e));
   }
@@ -67,7 +68,7 @@
   c.listen = address_in(root, "listen");
   c.discovery = address_in(root, "discovery");
   if (find(root, "limits")) c.sockets = get<std::uint32_t>(object_in(root, "limits"), "sockets", c.sockets);
-  if (c.sockets < kFewestSockets) fault("limits.sockets", "under " + std::to_string(kFewestSockets));
+  if (c.sockets < kFewestSockets) fault("limits.sockets", "under " + std::to_string(kFewestSockets), find(root, "limits"));
   if (find(root, "known")) c.known = read_pool_config(object_in(root, "known"));
   c.named = read_settings(object_in(root, "settings"), seed_in(root));
   if (c.named.settings.connect_timeout <= Duration{0}) fault("connect-timeout", "must be above 0");
@@ -83,7 +84,7 @@
 Config load(std::initializer_list<Override> overrides) {
   const char* path = std::getenv("GW_CONFIG");
   if (!path) fault("GW_CONFIG", "not set");
-  std::ifstream file(path);
+  std::ifstream file(path, std::ios::binary);
   if (!file) fault("GW_CONFIG", std::string("cannot be read: ") + path);
   std::stringstream text;
   text << file.rdbuf();
@@ -92,7 +93,13 @@
   if (!root.isObject()) fault("GW_CONFIG", "not an object");
   for (const auto& [variable, key] : overrides)
     if (const char* value = std::getenv(variable)) root[key] = value;
-  return read_config(root);
+  try {
+    return read_config(root);
+  } catch (const JsonFault& found) {
+    if (found.offset < 0) throw;
+    const auto line = 1 + std::count(bytes.begin(), bytes.begin() + found.offset, '\n');
+    throw JsonFault(std::string(path) + ":" + std::to_string(line) + ": " + found.what());
+  }
 }
 
 }  // namespace
--- a/src/config/settings_reader.cpp
+++ b/src/config/settings_reader.cpp
@@ -14,7 +14,7 @@
   } else if (repeat == "by_key") {
     c.effect = Effect::kKeyed;
   } else if (repeat != "once") {
-    fault("repeat", "not one of repeatable, by_key, once");
+    fault("repeat", "not one of repeatable, by_key, once", find(p, "repeat"));
   }
   const auto group = get<std::string>(p, "group", "all");
   if (group == "zone") {
@@ -22,7 +22,7 @@
   } else if (group == "cell") {
     c.group = Group::kCell;
   } else if (group != "all") {
-    fault("group", "not one of all, zone, cell");
+    fault("group", "not one of all, zone, cell", find(p, "group"));
   }
   c.memory_span = get<Duration>(p, "memory-span", Duration{0});
   c.aim = get<Duration>(p, "aim");
@@ -72,7 +72,7 @@
   named.zone = get<std::string>(env, "zone", "");
   s.tier = get<std::uint32_t>(env, "tier", 0);
   const Json::Value* tiers = find(env, "tiers");
-  if (tiers && !tiers->isArray()) fault("tiers", "not an array");
+  if (tiers && !tiers->isArray()) fault("tiers", "not an array", tiers);
   s.tier_count = tiers ? std::max(1u, tiers->size()) : s.tier + 1;
   s.replicas = get<std::uint32_t>(env, "replicas-of-me", 1);
   s.step = get<Duration>(env, "step", Duration{1000});
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,103 +1,116 @@
-// The proxy: wires the actors together and reads its configuration again on SIGHUP and
-// ends in good order on SIGTERM.
-#include <sys/signalfd.h>
+// The command line. Without arguments the program serves. Exit codes: 0 done, 1 a fault while starting or serving,
+// 2 faulty arguments or, with `check`, a faulty file; those of beechhill-lab for what it carries out.
 #include <unistd.h>
 
+#include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
-#include <stdexcept>
-#include <utility>
+#include <cstdlib>
+#include <filesystem>
 
-#include "proxy/decision_actor.h"
-#include "proxy/front_socket.h"
-#include "proxy/peer_actor.h"
-#include "proxy/pool_config_actor.h"
+#include "config/config.h"
+#include "config/operator_file.h"
+#include "log/log.h"
+#include "proxy/serve.h"
 
 namespace {
 
 using namespace beechhill;
+using namespace std::chrono_literals;
 
-constexpr std::size_t kOtherDescriptors = 32;  // standard streams, epoll, signals, listener, discovery
-constexpr std::size_t kFrontPercent = 55;
+constexpr int kFault = 1, kBadInput = 2;
+constexpr auto kLastLines = 250ms;  // that a stalled reader of the log may hold up the end
 
-runtime::Task<> end_in_order(runtime::Scheduler& scheduler, proxy::FrontDoor& door) {
-  proxy::log_line("ending: no longer ready, still answering");
-  co_await door.drain();
-  proxy::log_line("ended: all is answered");
-  scheduler.stop();
+std::string operator_file_of_environment() {
+  const char* path = std::getenv("BEECHHILL_OPERATOR");
+  return path ? path : "";
 }
 
-// Of a new configuration only discovery's address is taken over; a faulty one changes nothing.
-void reload(proxy::WatchBox& watch) {
+int serve(const std::string& operator_file) {
+  std::signal(SIGPIPE, SIG_IGN);
+  int code = 0;
   try {
-    const sockaddr_in discovery = config::reload_config().discovery;
-    if (!watch.post(proxy::MoveWatch{discovery})) return proxy::log_line("a full mailbox lost a reload");
-    proxy::log_line("configuration read again: discovery at " + net::to_string(discovery));
+    proxy::serve(operator_file);
   } catch (const std::exception& error) {
-    proxy::log_line(std::string("configuration kept, the new one is faulty: ") + error.what());
+    std::fprintf(stderr, "beechhill: %s\n", error.what());
+    code = kFault;
   }
+  log::finish(kLastLines);
+  return code;
 }
 
-runtime::Task<> heed_signals(runtime::Scheduler& scheduler, net::Fd signals, proxy::FrontDoor& door,
-                             proxy::WatchBox& watch) {
-  runtime::IoSource io(scheduler, signals.get());
-  bool ending = false;
-  for (;;) {
-    signalfd_siginfo info{};
-    if (::read(signals.get(), &info, sizeof info) < 0) {
-      runtime::Wait wait(scheduler);
-      wait.readable(io);
-      co_await wait;
-    } else if (info.ssi_signo == SIGHUP) {
-      reload(watch);
-    } else if (!std::exchange(ending, true)) {
-      scheduler.spawn(end_in_order(scheduler, door));
+int check(const std::string& config, const std::string& operator_file) {
+  int code = 0;
+  const auto look = [&code](const char* what, const std::string& path, const auto& read) {
+    if (path.empty()) return;
+    try {
+      read();
+      std::printf("%s: good: %s\n", what, path.c_str());
+    } catch (const std::exception& error) {
+      std::fprintf(stderr, "beechhill: %s: %s\n", what, error.what());
+      code = kBadInput;
     }
+  };
+  if (!config.empty()) ::setenv("GW_CONFIG", config.c_str(), 1);
+  const char* named = std::getenv("GW_CONFIG");
+  if (!named && operator_file.empty()) {
+    std::fprintf(stderr, "beechhill: nothing to check: give --config or GW_CONFIG, --operator or BEECHHILL_OPERATOR\n");
+    return kBadInput;
   }
+  look("configuration", named ? named : "", [] { config::load_config(); });
+  look("operator file", operator_file, [&] { config::load_operator(operator_file); });
+  return code;
 }
 
-net::Fd block_signals() {
-  sigset_t mask;
-  sigemptyset(&mask);
-  for (const int number : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&mask, number);
-  sigprocmask(SIG_BLOCK, &mask, nullptr);
-  net::Fd signals(::signalfd(-1, &mask, SFD_NONBLOCK | SFD_CLOEXEC));
-  if (!signals) throw std::runtime_error("signalfd failed");
-  return signals;
+// The emulator and its libraries stay out of the serving program: they are a program of their own beside it.
+int hand_over(char** argv) {
+  std::error_code error;
+  const auto self = std::filesystem::read_symlink("/proc/self/exe", error);
+  const std::string lab = (self.parent_path() / "beechhill-lab").string();
+  ::execv(lab.c_str(), argv);
+  std::fprintf(stderr, "beechhill: %s is carried out by %s, which cannot be started\n", argv[1], lab.c_str());
+  return kFault;
 }
 
-void serve() {
-  net::Fd signals = block_signals();  // first: one that comes while starting waits its turn
-  const config::Config config = config::load_config();
+}  // namespace
 
-  runtime::Scheduler scheduler;
-  const std::size_t usable = config.sockets - kOtherDescriptors;
-  const std::size_t front = usable * kFrontPercent / 100;
-  proxy::PeerPool pool(usable - front);
-  const auto make_peer = [&](proxy::DecisionBox& inbox, ServerId server, const sockaddr_in& address) {
-    return std::make_unique<proxy::PeerActor>(scheduler, inbox, pool, config.named.settings, server, address);
-  };
-  proxy::PoolConfigActor pool_config(scheduler, config);
-  proxy::DecisionActor decisions(scheduler, config, make_peer, pool_config.inbox());
-  proxy::FrontDoor door(scheduler, decisions.inbox(), config, front, [&] { return decisions.has_list(); });
-  scheduler.spawn(decisions.run());
-  scheduler.spawn(pool_config.run(decisions.inbox()));
-  scheduler.spawn(door.run());
-  scheduler.spawn(heed_signals(scheduler, std::move(signals), door, pool_config.inbox()));
-  proxy::log_line("serving at " + net::to_string(door.address()) + " as " + config.name);
-  scheduler.run();
-}
+int main(int argc, char** argv) {
+  if (argc == 1) return serve(operator_file_of_environment());
 
-}  // namespace
+  CLI::App app{"beechhill: a load balancing proxy for services that stand in tiers. Without arguments it serves."};
+  app.require_subcommand(1);
+  app.footer("Exit codes: 0 done, 1 a fault while starting or serving, 2 faulty arguments or a faulty file. The commands\n"
+             "marked [lab] are carried out by beechhill-lab, which stands beside this program; its own --help tells more.");
+  int code = 0;
+  std::string config, operator_file = operator_file_of_environment();
+
+  CLI::App* c = app.add_subcommand("serve", "Serve with the configuration that GW_CONFIG names");
+  c->add_option("--operator", operator_file, "Operator file (TOML), in place of BEECHHILL_OPERATOR's");
+  c->callback([&] { code = serve(operator_file); });
+
+  c = app.add_subcommand("check", "Say what is wrong with a configuration and an operator file, with key and line");
+  c->add_option("--config", config, "Configuration (JSON), in place of GW_CONFIG's");
+  c->add_option("--operator", operator_file, "Operator file (TOML), in place of BEECHHILL_OPERATOR's");
+  c->callback([&] { code = check(config, operator_file); });
+
+  for (const auto& [name, text] : {std::pair{"emulate", "[lab] Play a scenario in simulated time"},
+                                   {"experiment", "[lab] Run a grid of scenarios, policies and seeds"},
+                                   {"plot", "[lab] Draw results into one HTML page"},
+                                   {"nodes", "[lab] Play stand-in nodes and their discovery on loopback"},
+                                   {"demo", "[lab] Nodes, discovery, the real proxy and a load, all on this machine"}}) {
+    c = app.add_subcommand(name, text);
+    c->prefix_command();
+    c->set_help_flag();
+    c->callback([&] { code = hand_over(argv); });
+  }
+
+  c = app.add_subcommand("version", "Print the version");
+  c->callback([] { std::printf("beechhill %s\n", BEECHHILL_VERSION); });
 
-int main() {
-  std::setvbuf(stdout, nullptr, _IOLBF, 0);
-  std::signal(SIGPIPE, SIG_IGN);
   try {
-    serve();
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "beechhill: %s\n", error.what());
-    return 1;
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : kBadInput;
   }
-  return 0;
+  return code;
 }
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -1,8 +1,8 @@
 #include "proxy/decision_actor.h"
 
 #include <algorithm>
-#include <cmath>
 
+#include "log/log.h"
 #include "proxy/log.h"
 
 namespace beechhill::proxy {
@@ -148,7 +148,7 @@
   const auto it = entries_.find(a.id);
   if (it == entries_.end() || a.attempt >= it->second.servers.size()) return;
   if (!backends_[it->second.servers[a.attempt]].peer->post(CancelStep{a.id, a.attempt}))
-    log_line("a full mailbox lost a cancel");
+    log_lost("cancel");
 }
 
 void DecisionActor::act(const Refuse& a) {
@@ -197,7 +197,7 @@
 
 void DecisionActor::tell(ServerId server, PeerStatus status) {
   backends_[server].state = status.state;
-  if (!backends_[server].peer->post(status)) log_line("a full mailbox lost a peer's status");
+  if (!backends_[server].peer->post(status)) log_lost("peer_status");
 }
 
 // Frees what belongs to a backend that is gone, once nothing refers to it: days are long, and backends many.
@@ -221,13 +221,13 @@
 }
 
 void DecisionActor::act(const Watch&) {
-  if (!watch_.post(WatchMessage(WatchNow{}))) log_line("the list actor has an order to watch already");
+  if (!watch_.post(WatchMessage(WatchNow{}))) log::event(log::Level::kDebug, "watch_ordered_already", {});
 }
 
 void DecisionActor::act(const SetTimer& a) { timers_.emplace(a.at, a.token); }
 
 void DecisionActor::act(const Log& a) {
-  log_line(std::string(a.text) + " " + std::to_string(std::lround(a.value)));
+  log::info("module", {{"text", std::string_view(a.text)}, {"value", a.value}});
 }
 
 }  // namespace beechhill::proxy
--- a/src/proxy/front_socket.cpp
+++ b/src/proxy/front_socket.cpp
@@ -76,7 +76,7 @@
 Task<> serve_and_free(std::unique_ptr<FrontSocket> socket) {
   try {
     co_await socket->serve();
-  } catch (const std::exception& error) { log_line(std::string("fault on a front socket: ") + error.what()); }
+  } catch (const std::exception& error) { log_fault("front_fault", error); }
 }
 
 }  // namespace
@@ -103,7 +103,7 @@
       try {
         scheduler_.spawn(serve_and_free(std::make_unique<FrontSocket>(*this, std::move(fd), from)));
       } catch (const std::system_error& error) {  // epoll takes no more: the client is let go
-        log_line(std::string("a connection was let go: ") + error.what());
+        log_fault("connection_let_go", error);
       }
     } else if (io == Io::kError) {
       runtime::Wait wait(scheduler_);  // guards against a busy loop when the system has none left
@@ -364,7 +364,7 @@
     // Gone, or never decided: an unforeseen failure, and something may have run.
     if (io == Io::kTimeout) operation->answer = Failed{};
     DecisionMessage left(Left{operation});
-    if (!door_.decisions_.post(std::move(left))) log_line("a full mailbox lost a client's end");
+    if (!door_.decisions_.post(std::move(left))) log_lost("client_end");
     if (io == Io::kTimeout) break;
     if (spoilt) co_await turn_away(400, EndReason::kBadRequest);
     if (!spoilt) reason_ = EndReason::kClientGone;
--- a/src/proxy/log.cpp
+++ b/src/proxy/log.cpp
@@ -1,6 +1,6 @@
 #include "proxy/log.h"
 
-#include <cstdio>
+#include "log/log.h"
 
 namespace beechhill::proxy {
 
@@ -52,11 +52,17 @@
   return "unknown";
 }
 
-void log_line(const std::string& text) { std::printf("%s\n", text.c_str()); }
-
 void log_end(const char* side, const std::string& remote, EndReason reason, std::uint64_t operations) {
-  std::printf("end side=%s remote=%s reason=%s operations=%llu\n", side, remote.c_str(), code(reason),
-              static_cast<unsigned long long>(operations));
+  log::info("end", {{"side", std::string_view(side)},
+                    {"remote", std::string_view(remote)},
+                    {"reason", std::string_view(code(reason))},
+                    {"operations", operations}});
+}
+
+void log_fault(const char* name, const std::exception& error) {
+  log::warning(name, {{"fault", std::string_view(error.what())}});
 }
 
+void log_lost(const char* what) { log::warning("mailbox_full", {{"lost", std::string_view(what)}}); }
+
 }  // namespace beechhill::proxy
--- a/src/proxy/log.h
+++ b/src/proxy/log.h
@@ -1,7 +1,8 @@
-// One line for each connection that ended, with a code for the reason; and plain lines.
+// One line for each connection that ended, with a code for the reason.
 #pragma once
 
 #include <cstdint>
+#include <exception>
 #include <string>
 
 namespace beechhill::proxy {
@@ -31,7 +32,11 @@
 };
 const char* code(EndReason reason);
 
-void log_line(const std::string& text);
+// side: front (a client), peer (a backend) or discovery.
 void log_end(const char* side, const std::string& remote, EndReason reason, std::uint64_t operations);
+// What went wrong without ending the program, as a warning of that name.
+void log_fault(const char* name, const std::exception& error);
+// A bounded mailbox was full, and this is what it did not take.
+void log_lost(const char* what);
 
 }  // namespace beechhill::proxy
--- a/src/proxy/peer_actor.cpp
+++ b/src/proxy/peer_actor.cpp
@@ -177,7 +177,7 @@
     done.report = got.report;
     done.reply = std::move(got.reply);
   } catch (const std::exception& error) {  // guards against a send without an outcome
-    log_line(std::string("fault in a route step: ") + error.what());
+    log_fault("step_fault", error);
     done.result = Result::kError;  // it may have run
   }
   steps_.erase({step.operation, step.attempt});
--- a/src/proxy/pool_config_actor.cpp
+++ b/src/proxy/pool_config_actor.cpp
@@ -36,7 +36,7 @@
       co_await watch(decisions, end);
     } catch (const std::exception& error) {
       end.reason = EndReason::kDiscoveryBad;  // guards against dying of what discovery sends
-      log_line(std::string("discovery: ") + error.what());
+      log_fault("discovery_fault", error);
     }
     log_end("discovery", net::to_string(end.address), end.reason, end.lists);
     if (end.reason == EndReason::kDiscoveryMoved) continue;
