--- a/src/emulator/metrics.cpp
+++ b/src/emulator/metrics.cpp
@@ -63,7 +63,49 @@
 }
 
 Metrics::Metrics(const Scenario& s)
-    : by_class(s.classes.size()), by_tenant(s.tenants.size()), latency(s.classes.size()) {}
+    : by_class(s.classes.size()), by_tenant(s.tenants.size()), latency(s.classes.size()), s_(&s) {}
+
+bool Metrics::counted(Time first) const { return first >= s_->warm_up && first < s_->length; }
+
+Second* Metrics::second_of(Time t) {
+  const auto i = static_cast<std::size_t>(t / std::chrono::seconds(1));
+  return t >= Time{0} && i < seconds.size() ? &seconds[i] : nullptr;
+}
+
+template <typename Book>
+void Metrics::each(ClassId c, TenantId tenant, const Book& book) {
+  book(all);
+  book(by_class[c]);
+  if (tenant < by_tenant.size()) book(by_tenant[tenant]);
+}
+
+void Metrics::asked(Time first, ClassId c, TenantId tenant, double worth) {
+  if (Second* w = second_of(first)) w->asked += 1, w->worth_asked += worth;
+  if (counted(first)) each(c, tenant, [worth](Count& k) { k.asked += 1, k.worth_asked += worth; });
+}
+
+void Metrics::ended(Time first, Duration took, ClassId c, TenantId tenant, double worth, bool served, bool refused) {
+  const ClassSettings& k = s_->classes[c].settings;
+  const bool in_aim = served && took <= k.aim;
+  const double got = !served ? 0 : in_aim ? worth : worth * k.late_worth;
+  if (Second* w = second_of(first)) w->worth_served += got, w->in_aim += in_aim;
+  if (!counted(first)) return;
+  if (served) latency[c].add(took), latency_all.add(took);
+  each(c, tenant, [&](Count& n) {
+    n.worth_served += got;
+    n.in_aim += in_aim;
+    n.late += served && !in_aim;
+    n.refused += !served && refused;
+    n.failed += !served && !refused;
+  });
+}
+
+void Metrics::close() {
+  const auto rest = [](Count& n) { n.unanswered = n.asked - n.in_aim - n.late - n.refused - n.failed; };
+  rest(all);
+  std::for_each(by_class.begin(), by_class.end(), rest);
+  std::for_each(by_tenant.begin(), by_tenant.end(), rest);
+}
 
 double Metrics::recovery_s(Duration before, Duration from, Duration until, double share) const {
   const auto mean = [this](std::size_t a, std::size_t b) {
@@ -82,7 +124,8 @@
   return -1;
 }
 
-Json::Value Metrics::to_json(const Scenario& s, bool series) const {
+Json::Value Metrics::to_json(bool series) const {
+  const Scenario& s = *s_;
   Json::Value v;
   v["goodput"] = goodput();
   v["all"] = all.to_json();
--- a/src/emulator/metrics.h
+++ b/src/emulator/metrics.h
@@ -45,7 +45,15 @@
 };
 
 struct Metrics {
-  explicit Metrics(const Scenario& s);
+  explicit Metrics(const Scenario& s);  // which must outlive it
+
+  // A client's request that first came at `first`, and its end `took` later. Both count for the totals where it came
+  // after the warm-up.
+  void asked(Time first, ClassId c, TenantId tenant, double worth);
+  void ended(Time first, Duration took, ClassId c, TenantId tenant, double worth, bool served, bool refused);
+  bool counted(Time first) const;
+  Second* second_of(Time t);  // null beyond the series
+  void close();               // no more will come: what has not ended is unanswered
 
   std::vector<Count> by_class, by_tenant;
   Count all;
@@ -62,7 +70,13 @@
   // Seconds from `from` on until goodput stays within `share` of what it was in [before, from); negative
   // where it never does.
   double recovery_s(Duration before, Duration from, Duration until, double share) const;
-  Json::Value to_json(const Scenario& s, bool series) const;
+  Json::Value to_json(bool series) const;
+
+ private:
+  template <typename Book>
+  void each(ClassId c, TenantId tenant, const Book& book);
+
+  const Scenario* s_;
 };
 
 }  // namespace beechhill::emulator
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -264,6 +264,13 @@
   }
 }
 
+std::size_t nodes_struck(const FaultSpec& f, std::size_t candidates) {
+  if (f.nodes > 0) return std::min<std::size_t>(f.nodes, candidates);
+  if (f.part <= 0) return candidates;  // a zone or cell, whole
+  const auto count = static_cast<std::size_t>(std::llround(f.part * static_cast<double>(candidates)));
+  return std::min(candidates, std::max<std::size_t>(1, count));
+}
+
 double capacity_per_s(const Scenario& s) {
   double parts = 0, work = 0;
   for (const ClassSpec& c : s.classes) parts += c.part, work += c.part * c.work_s;
--- a/src/emulator/scenario.h
+++ b/src/emulator/scenario.h
@@ -123,6 +123,9 @@
 // std::invalid_argument where the path leads through something that is not there.
 void override_key(toml::table& root, const std::string& path, const toml::node& value);
 
+// How many of `candidates` nodes a fault strikes.
+std::size_t nodes_struck(const FaultSpec& f, std::size_t candidates);
+
 // Mean requests a second that the tightest tier can do, all nodes warm and whole.
 double capacity_per_s(const Scenario& s);
 double rate_per_s(const Scenario& s);  // the scenario's mean rate of first tries
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -21,26 +21,15 @@
       make_policy_(std::move(make_policy)),
       metrics_(s_),
       rules_(s_),
-      arrivals_(s_.seed, Actor::kArrivals, 0),
+      arrivals_(s_),
       client_random_(s_.seed, Actor::kClients, 0),
       list_random_(s_.seed, Actor::kDiscovery, 0),
       nodes_(s_.tiers.size()),
       by_tier_(s_.tiers.size()),
       struck_(s_.faults.size()) {
-  mean_rate_ = rate_per_s(s_);
   double parts = 0;
   for (const ClassSpec& c : s_.classes) parts += c.part, usual_work_ += c.part * c.work_s;
   usual_work_ /= parts;
-  double most = 1;
-  if (s_.load.shape == Shape::kDiurnal) most = 1 + s_.load.swing;
-  if (s_.load.shape == Shape::kBursts) most = std::max(1.0, s_.load.burst_factor);
-  for (const FaultSpec& f : s_.faults)
-    if (f.kind == FaultKind::kBurst || f.kind == FaultKind::kTenantBurst) most *= std::max(1.0, f.factor);
-  most_rate_ = mean_rate_ * most;
-  for (const TenantSettings& t : settings_for(s_, 0, 0, 1, 0).tenants) allowances_.push_back(t.allowance_per_s);
-  tokens_ = allowances_;  // a second's worth in reserve
-  filled_.assign(allowances_.size(), Time{0});
-
   for (std::uint32_t i = 0; i < s_.proxies; ++i) add_proxy(0, i % s_.tiers[0].zones);
   for (std::uint32_t t = 0; t < s_.tiers.size(); ++t)
     for (std::uint32_t i = 0; i < s_.tiers[t].nodes; ++i) add_node(t, std::nullopt);
@@ -106,99 +95,30 @@
 
 // ---- Clients
 
-double World::tenant_weight(std::size_t tenant, Time t) const {
-  double weight = s_.tenants[tenant].part;
-  for (const FaultSpec& f : s_.faults)
-    if (f.kind == FaultKind::kTenantBurst && f.tenant == tenant && t >= f.at && t < f.at + f.length)
-      weight *= f.factor;
-  return weight;
-}
-
-double World::rate_at(Time t) const {
-  double rate = mean_rate_;
-  const double turn = std::fmod(to_s(t), to_s(s_.load.period));
-  if (s_.load.shape == Shape::kDiurnal)
-    rate *= 1 - s_.load.swing * std::cos(2 * M_PI * turn / to_s(s_.load.period));
-  if (s_.load.shape == Shape::kBursts && turn < to_s(s_.load.burst_length)) rate *= s_.load.burst_factor;
-  for (const FaultSpec& f : s_.faults)
-    if (f.kind == FaultKind::kBurst && t >= f.at && t < f.at + f.length) rate *= f.factor;
-  if (!s_.tenants.empty()) {
-    double usual = 0, present = 0;
-    for (std::size_t i = 0; i < s_.tenants.size(); ++i)
-      usual += s_.tenants[i].part, present += tenant_weight(i, t);
-    rate *= present / usual;
-  }
-  return rate;
-}
-
-// The next arrival of a rate that changes: drawn at the highest rate, kept in proportion.
 void World::next_arrival() {
-  Time t = now_;
-  for (;;) {
-    t += std::max(Duration{1}, to_span(arrivals_.exponential(1 / most_rate_)));
-    if (t >= s_.length) return;
-    if (arrivals_.uniform() * most_rate_ < rate_at(t)) break;
-  }
-  queue_.add(t, Kind::kArrival);
+  next_ = arrivals_.next();
+  if (next_) queue_.add(next_->at, Kind::kArrival);
 }
 
 void World::arrive() {
+  const Arrival a = *next_;
   Op op;
   op.first = now_;
-  double left = 0;
-  for (const ClassSpec& c : s_.classes) left += c.part;
-  left *= arrivals_.uniform();
-  while (op.c + 1 < s_.classes.size() && (left -= s_.classes[op.c].part) >= 0) ++op.c;
-  const ClassSpec& c = s_.classes[op.c];
-  if (!s_.tenants.empty()) {
-    double all = 0;
-    for (std::size_t i = 0; i < s_.tenants.size(); ++i) all += tenant_weight(i, now_);
-    double at = all * arrivals_.uniform();
-    op.tenant = 0;
-    while (op.tenant + 1 < s_.tenants.size() && (at -= tenant_weight(op.tenant, now_)) >= 0) ++op.tenant;
-  }
-  if (c.spread == Spread::kExponential) {
-    op.work = arrivals_.exponential(c.work_s);
-  } else if (c.spread == Spread::kLognormal && c.variation > 0) {
-    op.work = arrivals_.lognormal(c.work_s, c.variation);
-  } else {
-    op.work = c.work_s;
-  }
-  op.connection = static_cast<std::uint32_t>(arrivals_.below(connections_.size()));
-  op.until = now_ + c.settings.deadline;
-  op.worth = c.settings.worth;
-  if (op.tenant < allowances_.size() && allowances_[op.tenant] > 0) {
-    double& tokens = tokens_[op.tenant];
-    const double rate = allowances_[op.tenant];
-    tokens = std::min(rate, tokens + rate * to_s(now_ - filled_[op.tenant]));
-    filled_[op.tenant] = now_;
-    if (tokens < 1) {
-      op.worth *= s_.load.over_share_worth;
-    } else {
-      tokens -= 1;
-    }
-  }
-  if (Second* w = second_of(now_)) w->asked += 1, w->worth_asked += op.worth;
-  if (counted(now_)) {
-    for (Count* k : {&metrics_.all, &metrics_.by_class[op.c]}) k->asked += 1, k->worth_asked += op.worth;
-    if (op.tenant != kNoTenant) {
-      metrics_.by_tenant[op.tenant].asked += 1;
-      metrics_.by_tenant[op.tenant].worth_asked += op.worth;
-    }
-  }
+  op.c = a.c;
+  op.tenant = a.tenant;
+  op.work = a.work_s;
+  op.worth = a.worth;
+  op.connection = a.connection;
+  op.until = now_ + s_.classes[op.c].settings.deadline;
+  metrics_.asked(now_, op.c, op.tenant, op.worth);
   try_now(ops_.add(op));
 }
 
-Second* World::second_of(Time t) {
-  const auto i = static_cast<std::size_t>(t / std::chrono::seconds(1));
-  return i < metrics_.seconds.size() ? &metrics_.seconds[i] : nullptr;
-}
-
 void World::try_now(std::uint64_t id) {
   Op& op = *ops_.find(id);
   ++op.tries;
-  if (counted(op.first)) ++metrics_.tries;
-  if (Second* w = second_of(now_)) ++w->tries;
+  if (metrics_.counted(op.first)) ++metrics_.tries;
+  if (Second* w = metrics_.second_of(now_)) ++w->tries;
   std::uint32_t& at = connections_[op.connection];
   if (!proxies_[at].alive) {
     // The front knows a dead proxy only after a while; until then a new connection may meet it again.
@@ -211,14 +131,12 @@
       return end_try(id, nullptr, false, false, true, Duration{0}, 0);
     }
   }
-  const ClassSettings& k = s_.classes[op.c].settings;
-  const Duration patience = to_span(to_s(k.deadline) * client_random_.uniform(s_.clients.patience));
   Call call;
   call.proxy = at;
   call.op = id;
   call.c = op.c;
   call.tenant = op.tenant;
-  call.deadline = std::min(op.until, now_ + std::max(patience, Duration{1}));
+  call.deadline = std::min(op.until, now_ + patience_of(s_, op.c, client_random_));
   call.work = op.work;
   open_call(std::move(call));
 }
@@ -229,46 +147,20 @@
   if (!found) return;
   Op& op = *found;
   if (ok) return end_op(id, true, useful);
-  op.last = refused ? Op::Last::kRefused : Op::Last::kFailed;
-  if (Second* w = second_of(now_)) (refused ? w->refused : w->failed) += 1;
-  const ClassSettings& k = s_.classes[op.c].settings;
-  const bool harmless = refused || unreachable || k.effect == Effect::kRepeatable ||
-                        (k.effect == Effect::kKeyed && k.group == Group::kAll);
-  Duration wait{0};
-  if (s_.clients.retry == Retry::kAfter || (s_.clients.retry == Retry::kAdvised && advice == Duration{0})) {
-    const double grown = to_s(s_.clients.wait) * std::pow(s_.clients.growth, op.tries - 1);
-    wait = to_span(grown * (0.5 + client_random_.uniform()));  // clients that failed together spread out
-  } else if (s_.clients.retry == Retry::kAdvised) {
-    wait = to_span(to_s(std::min(advice, s_.clients.longest_advice)) * (1 + 0.2 * client_random_.uniform()));
-  }
-  const bool again = s_.clients.retry != Retry::kNever && harmless && op.tries <= s_.clients.retries &&
-                     now_ + wait < op.until;
-  if (!again) return end_op(id, false, 0);
-  if (call == nullptr && wait == Duration{0}) wait = s_.network;  // a refused connection takes its time too
-  queue_.add(now_ + wait, Kind::kTry, id);
+  op.refused = refused;
+  if (Second* w = metrics_.second_of(now_)) (refused ? w->refused : w->failed) += 1;
+  std::optional<Duration> wait =
+      wait_before_retry(s_, {op.c, op.tries, refused, unreachable, advice}, client_random_);
+  if (wait && call == nullptr) wait = std::max(*wait, s_.network);  // a refused connection takes its time too
+  if (!wait || now_ + *wait >= op.until) return end_op(id, false, 0);
+  queue_.add(now_ + *wait, Kind::kTry, id);
 }
 
 void World::end_op(std::uint64_t id, bool served, double useful) {
   const Op op = *ops_.find(id);
   ops_.remove(id);
-  const ClassSettings& k = s_.classes[op.c].settings;
-  const Duration took = now_ - op.first;
-  const bool in_aim = served && took <= k.aim;
-  const double worth = !served ? 0 : in_aim ? op.worth : op.worth * k.late_worth;
   if (served) metrics_.work_useful += useful;
-  if (Second* w = second_of(op.first)) w->worth_served += worth, w->in_aim += in_aim;
-  if (!counted(op.first)) return;
-  if (served) metrics_.latency[op.c].add(took), metrics_.latency_all.add(took);
-  const auto book = [&](Count& c) {
-    c.worth_served += worth;
-    c.in_aim += in_aim;
-    c.late += served && !in_aim;
-    c.refused += !served && op.last == Op::Last::kRefused;
-    c.failed += !served && op.last == Op::Last::kFailed;
-  };
-  book(metrics_.all);
-  book(metrics_.by_class[op.c]);
-  if (op.tenant != kNoTenant) book(metrics_.by_tenant[op.tenant]);
+  metrics_.ended(op.first, now_ - op.first, op.c, op.tenant, op.worth, served, op.refused);
 }
 
 // ---- Proxies
@@ -339,8 +231,8 @@
     own_.push_back({a.id, attempt});
     return;
   }
-  if (p.tier == 0 && counted(now_)) ++metrics_.attempts;
-  if (Second* w = second_of(now_)) ++w->attempts;
+  if (p.tier == 0 && metrics_.counted(now_)) ++metrics_.attempts;
+  if (Second* w = metrics_.second_of(now_)) ++w->attempts;
   NodeState& n = nodes_[p.tier][a.server];
   const TierSpec& spec = s_.tiers[p.tier];
   Job job;
@@ -696,9 +588,7 @@
     if (f.cell >= 0 && n.entry.cell != static_cast<std::uint32_t>(f.cell)) continue;
     if (n.entry.state == ServerState::kUp) all.push_back(n.entry.server);
   }
-  std::size_t count = f.nodes > 0 ? f.nodes : static_cast<std::size_t>(std::llround(f.part * static_cast<double>(all.size())));
-  if (f.nodes == 0 && f.part <= 0) count = all.size();
-  if (f.nodes == 0 && f.part > 0) count = std::max<std::size_t>(1, count);
+  const std::size_t count = nodes_struck(f, all.size());
   Stream random(s_.seed, Actor::kFaults, fault);
   while (chosen.size() < count && !all.empty()) {
     const std::size_t i = random.below(all.size());
@@ -999,10 +889,7 @@
 }
 
 void World::sum_up() {
-  for (std::vector<Count>* counts : {&metrics_.by_class, &metrics_.by_tenant})
-    for (Count& c : *counts) c.unanswered = c.asked - c.in_aim - c.late - c.refused - c.failed;
-  Count& a = metrics_.all;
-  a.unanswered = a.asked - a.in_aim - a.late - a.refused - a.failed;
+  metrics_.close();
   for (std::size_t t = 0; t < nodes_.size(); ++t) {
     double busy = 0, waited = 0, present = 0, least = 1e18, most = 0;
     std::uint64_t started = 0, longest = 0;
--- a/src/emulator/world.h
+++ b/src/emulator/world.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "emulator/clients.h"
 #include "emulator/event_queue.h"
 #include "emulator/metrics.h"
 #include "emulator/node.h"
@@ -43,7 +44,7 @@
     TenantId tenant = kNoTenant;
     double work = 0, worth = 0;
     std::uint32_t tries = 0, connection = 0;
-    enum class Last { kNone, kRefused, kFailed } last = Last::kNone;
+    bool refused = false;  // its last try was, else it failed
   };
   struct Attempt {
     ServerId node = 0;
@@ -132,16 +133,12 @@
   void start_proxy(std::uint32_t proxy);
 
   // Clients
-  double rate_at(Time t) const;
-  double tenant_weight(std::size_t tenant, Time t) const;
   void arrive();
   void next_arrival();
   void try_now(std::uint64_t op);
   void end_try(std::uint64_t op, const Call* call, bool ok, bool refused, bool unreachable, Duration advice,
                double useful);
   void end_op(std::uint64_t op, bool served, double useful);
-  bool counted(Time first) const { return first >= s_.warm_up && first < s_.length; }
-  Second* second_of(Time t);
 
   // Proxies
   std::uint64_t open_call(Call call);
@@ -196,10 +193,10 @@
   EventQueue queue_;
   Time now_{0};
   Time end_{0};
-  Stream arrivals_, client_random_, list_random_;
-  double most_rate_ = 0, mean_rate_ = 0, usual_work_ = 0;
-  std::vector<double> allowances_, tokens_;
-  std::vector<Time> filled_;
+  Arrivals arrivals_;
+  std::optional<Arrival> next_;
+  Stream client_random_, list_random_;
+  double usual_work_ = 0;
   std::vector<std::uint32_t> connections_;  // of clients, to the proxy of each
   std::vector<std::deque<NodeState>> nodes_;  // by tier
   std::deque<Proxy> proxies_;
--- a/src/experiments/experiment.cpp
+++ b/src/experiments/experiment.cpp
@@ -70,7 +70,7 @@
   world.run(progress);
   RunOutput out;
   out.wall_s = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
-  out.result = world.metrics().to_json(world.scenario(), series);
+  out.result = world.metrics().to_json(series);
   // How long the goodput takes to come back after the last fault that ends.
   Duration from{0}, to{0};
   for (const emulator::FaultSpec& f : scenario.faults) {
--- a/src/experiments/plot.cpp
+++ b/src/experiments/plot.cpp
@@ -79,7 +79,10 @@
     << " noenhanced\nset ylabel " << quoted(plot.y) << " noenhanced\n";
   if (plot.log_x) s << "set logscale x\n";
   if (plot.log_y) s << "set logscale y\n";
-  if (plot.from_zero && !plot.log_y) s << "set yrange [0:*]\n";
+  double most = 0;
+  for (const Line& line : plot.lines)
+    for (const auto& [x, y] : line.points) most = std::max(most, y);
+  if (plot.from_zero && !plot.log_y) s << "set yrange [0:" << (most > 0 ? "*" : "1") << "]\n";
   for (std::size_t i = 0; i < plot.lines.size(); ++i) {
     s << "$d" << i << " << EOD\n";
     for (const auto& [x, y] : plot.lines[i].points) s << x << ' ' << y << '\n';
--- /dev/null
+++ b/src/lab/load.h
@@ -0,0 +1,57 @@
+// An open-loop load on real proxies: the scenario's clients over HTTP/1.1. Latency counts from the moment a request
+// was to be sent, so a sender that falls behind does not hide it.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "emulator/clients.h"
+#include "emulator/metrics.h"
+#include "lab/standin.h"
+
+namespace beechhill::lab {
+
+class Load {
+ public:
+  // Connections that it may hold to all proxies together; a try beyond is unreachable.
+  static constexpr std::size_t kMostConnections = 4096;
+
+  Load(runtime::Scheduler& scheduler, const LabClock& clock, const emulator::Scenario& scenario,
+       std::vector<sockaddr_in> proxies);
+  // Ends when every request has ended.
+  runtime::Task<> run();
+  const emulator::Metrics& metrics() const { return metrics_; }
+  // The furthest that a request left behind its time: the load itself was slow.
+  Duration latest_start() const { return latest_start_; }
+  std::uint64_t asked() const { return asked_; }
+  std::uint64_t served() const { return served_; }
+  std::uint64_t open() const { return open_; }
+  // Answers that were not the one for the request they came to, or had a status that the protocol does not know.
+  std::uint64_t wrong_answers() const { return wrong_; }
+
+ private:
+  struct Try {
+    enum class End { kServed, kRefused, kFailed, kUnreachable } end = End::kFailed;
+    Duration advice{0};
+  };
+  runtime::Task<> operation(emulator::Arrival arrival, std::uint64_t number);
+  runtime::Task<Try> one_try(const emulator::Arrival& arrival, std::uint64_t number, std::uint32_t tries,
+                             std::size_t proxy, Duration patience);
+
+  runtime::Scheduler& scheduler_;
+  const LabClock& clock_;
+  const emulator::Scenario& s_;
+  std::vector<sockaddr_in> proxies_;
+  std::vector<std::vector<std::unique_ptr<net::Stream>>> idle_;  // by proxy
+  std::size_t connections_ = 0;
+  emulator::Metrics metrics_;
+  emulator::Stream random_;
+  std::vector<std::uint32_t> homes_;  // of each of the clients' connections: its proxy
+  std::uint64_t asked_ = 0, served_ = 0, open_ = 0, wrong_ = 0;
+  bool all_sent_ = false;
+  Duration latest_start_{0};
+  runtime::Notifier ended_;
+};
+
+}  // namespace beechhill::lab
--- /dev/null
+++ b/src/lab/sockets.cpp
@@ -0,0 +1,430 @@
+#include "lab/sockets.h"
+
+#include <fcntl.h>
+#include <fmt/format.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/signalfd.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "experiments/plot.h"
+#include "http/message.h"
+#include "lab/load.h"
+
+namespace beechhill::lab {
+
+using namespace std::chrono_literals;
+using net::Io;
+using runtime::Clock;
+using runtime::Task;
+using runtime::Wait;
+
+namespace {
+
+// Sixteen small nodes, of which two go silent for 6 s and come back cold: the day of `demo`.
+constexpr const char* kDemo = R"(
+name = "demo"
+length = "20s"
+warm_up = "2s"
+[load]
+utilisation = 0.5
+[clients]
+retries = 2
+[[class]]
+name = "read"
+part = 0.7
+repeat = "repeatable"
+work = "20ms"
+aim = "400ms"
+deadline = "1500ms"
+[[class]]
+name = "write"
+part = 0.3
+repeat = "by_key"
+group = "cell"
+work = "15ms"
+aim = "300ms"
+deadline = "1s"
+worth = 3
+[[tenant]]
+name = "north"
+share = 0.6
+[[tenant]]
+name = "south"
+share = 0.4
+[[tier]]
+name = "front"
+nodes = 16
+cores = 1
+slots = 8
+room = 16
+speed = [0.7, 1.1]
+cold = { from = 0.2, span = "5s" }
+report = { every = "500ms", delay = "100ms", noise = 0.02 }
+[[fault]]
+kind = "silent"
+at = "7s"
+for = "6s"
+nodes = 2
+)";
+
+class TempFolder {
+ public:
+  TempFolder() {
+    std::string path = (std::filesystem::temp_directory_path() / "beechhill-lab-XXXXXX").string();
+    if (!::mkdtemp(path.data())) throw std::runtime_error("no temporary folder can be made");
+    path_ = path;
+  }
+  ~TempFolder() {
+    std::error_code ignored;
+    std::filesystem::remove_all(path_, ignored);
+  }
+  TempFolder(const TempFolder&) = delete;
+  TempFolder& operator=(const TempFolder&) = delete;
+  std::string file(const std::string& name) const { return (path_ / name).string(); }
+
+ private:
+  std::filesystem::path path_;
+};
+
+// A free port: whoever is to listen on it is told only its number, so it is given back first. Loopback ports are given
+// out in turn, so that it is not given to another meanwhile.
+sockaddr_in free_address(runtime::Scheduler& scheduler) {
+  const net::Listener listener(scheduler, *net::parse_address("127.0.0.1:0"));
+  return listener.address();
+}
+
+// One real proxy as a child process.
+class ProxyProcess {
+ public:
+  ProxyProcess(const TempFolder& folder, const std::string& program, Json::Value config, sockaddr_in address)
+      : program_(program), address_(address) {
+    const std::string name = config["name"].asString();
+    config_ = folder.file(name + ".json");
+    log_ = folder.file(name + ".log");
+    std::ofstream(config_) << config;
+  }
+  ~ProxyProcess() { kill(); }
+  ProxyProcess(const ProxyProcess&) = delete;
+  ProxyProcess& operator=(const ProxyProcess&) = delete;
+
+  void start() {
+    pid_ = ::fork();
+    if (pid_ < 0) throw std::runtime_error("a proxy cannot be started");
+    if (pid_ > 0) return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it never outlives the lab
+    const int log = ::open(log_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+    ::dup2(log, STDOUT_FILENO);
+    ::dup2(log, STDERR_FILENO);
+    for (const char* name : {"GW_NAME", "GW_LISTEN", "GW_DISCOVERY"}) ::unsetenv(name);
+    ::setenv("GW_CONFIG", config_.c_str(), 1);
+    ::execl(program_.c_str(), program_.c_str(), nullptr);
+    ::_exit(127);
+  }
+  void kill() {
+    if (pid_ <= 0) return;
+    ::kill(pid_, SIGKILL);
+    reap();
+  }
+  // In good order, or by force after 5 s.
+  void end() {
+    if (pid_ <= 0) return;
+    ::kill(pid_, SIGTERM);
+    for (int i = 0; i < 500 && !ended(); ++i) std::this_thread::sleep_for(10ms);
+    kill();
+  }
+  bool ended() {
+    rusage used{};
+    int status = 0;
+    if (pid_ > 0 && ::wait4(pid_, &status, WNOHANG, &used) == pid_) book(used);
+    return pid_ <= 0;
+  }
+  double cpu_s() const { return cpu_s_; }
+  const sockaddr_in& address() const { return address_; }
+  std::string last_words() const {
+    std::ifstream in(log_);
+    std::string line, last;
+    while (std::getline(in, line)) last = line;
+    return last;
+  }
+
+ private:
+  void reap() {
+    rusage used{};
+    int status = 0;
+    if (::wait4(pid_, &status, 0, &used) == pid_) book(used);
+  }
+  void book(const rusage& used) {
+    pid_ = 0;
+    for (const timeval& t : {used.ru_utime, used.ru_stime})
+      cpu_s_ += static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
+  }
+
+  std::string program_, config_, log_;
+  sockaddr_in address_{};
+  pid_t pid_ = 0;
+  double cpu_s_ = 0;
+};
+
+Task<bool> ready(runtime::Scheduler& scheduler, sockaddr_in address) {
+  const auto deadline = Clock::now() + 200ms;
+  std::unique_ptr<net::Stream> stream = co_await net::Stream::connect(scheduler, address, deadline);
+  if (!stream) co_return false;
+  const std::string request = http::write_request("GET", "/health/ready", "proxy", "Connection: close\r\n", "");
+  const Io written = co_await stream->write(request, deadline);
+  if (written != Io::kOk) co_return false;
+  std::string buffer;
+  const Io read = co_await stream->read(buffer, deadline);
+  co_return read == Io::kOk && buffer.starts_with("HTTP/1.1 200");
+}
+
+// Runs a task to its end on the scheduler, then stops it; a fault in it comes out of Scheduler::run.
+Task<> then_stop(runtime::Scheduler& scheduler, Task<> task) {
+  co_await task;
+  scheduler.stop();
+}
+
+std::string program_beside_us() {
+  std::error_code error;
+  return (std::filesystem::read_symlink("/proc/self/exe", error).parent_path() / "beechhill").string();
+}
+
+class Run {
+ public:
+  Run(const emulator::Scenario& scenario, const std::string& program,
+      const std::function<void(const std::string&)>& progress)
+      : s_(scenario), fleet_(scheduler_, clock_, s_), progress_(progress) {
+    for (std::uint32_t i = 0; i < s_.proxies; ++i) {
+      const sockaddr_in address = free_address(scheduler_);
+      Json::Value config = proxy_config(s_, fmt::format("proxy-{}", i), net::to_string(address), fleet_, s_.seed * 1000 + i);
+      proxies_.push_back(std::make_unique<ProxyProcess>(folder_, program, std::move(config), address));
+    }
+  }
+
+  SocketRun play() {
+    scheduler_.spawn(then_stop(scheduler_, all()));
+    scheduler_.run();
+    SocketRun out;
+    for (auto& p : proxies_) p->end(), out.proxy_cpu_s += p->cpu_s();
+    out.result = load_->metrics().to_json(true);
+    out.wrong_answers = load_->wrong_answers();
+    out.latest_start = load_->latest_start();
+    out.asked = load_->asked();
+    std::uint64_t taken = 0, connections = 0;
+    for (const auto& n : fleet_.nodes()) taken += n->taken(), connections += n->connections();
+    out.result["attempts"] = static_cast<Json::UInt64>(taken);
+    out.result["node_connections"] = static_cast<Json::UInt64>(connections);
+    out.result["attempts_per_request"] = out.asked > 0 ? static_cast<double>(taken) / static_cast<double>(out.asked) : 0;
+    out.result["proxy_cpu_us_per_request"] = out.asked > 0 ? 1e6 * out.proxy_cpu_s / static_cast<double>(out.asked) : 0;
+    return out;
+  }
+
+ private:
+  Task<> all() {
+    std::vector<sockaddr_in> addresses;
+    for (auto& p : proxies_) p->start(), addresses.push_back(p->address());
+    const auto patience = Clock::now() + 15s;
+    for (auto& p : proxies_) {
+      for (;;) {
+        const bool up = co_await ready(scheduler_, p->address());
+        if (up) break;
+        if (p->ended()) throw std::runtime_error("a proxy ended at its start: " + p->last_words());
+        if (Clock::now() > patience) throw std::runtime_error("a proxy is not ready after 15 s: " + p->last_words());
+        Wait wait(scheduler_);
+        wait.until(Clock::now() + 20ms);
+        co_await wait;
+      }
+    }
+    clock_.zero = Clock::now();  // the day begins
+    load_ = std::make_unique<Load>(scheduler_, clock_, s_, std::move(addresses));
+    scheduler_.spawn(fleet_.play_faults([this](double part, bool down) { crash(part, down); }));
+    if (progress_) scheduler_.spawn(tell());
+    co_await load_->run();
+  }
+
+  void crash(double part, bool down) {
+    const auto count = std::max<std::size_t>(1, static_cast<std::size_t>(part * static_cast<double>(proxies_.size()) + 0.5));
+    for (std::size_t i = 0; i < std::min(count, proxies_.size()); ++i) down ? proxies_[i]->kill() : proxies_[i]->start();
+  }
+
+  Task<> tell() {
+    for (;;) {
+      std::string faults;
+      for (const emulator::FaultSpec& f : s_.faults)
+        if (clock_.now() >= f.at && clock_.now() < f.at + f.length) faults = "  (a fault is on)";
+      progress_(fmt::format("{:3.0f} s of {:g}: asked {}, served {}, open {}{}", std::chrono::duration<double>(clock_.now()).count(),
+                            std::chrono::duration<double>(s_.length).count(), load_->asked(), load_->served(), load_->open(), faults));
+      Wait wait(scheduler_);
+      wait.until(Clock::now() + 500ms);
+      co_await wait;
+    }
+  }
+
+  const emulator::Scenario& s_;
+  TempFolder folder_;
+  runtime::Scheduler scheduler_;
+  LabClock clock_;
+  Fleet fleet_;
+  std::vector<std::unique_ptr<ProxyProcess>> proxies_;
+  std::unique_ptr<Load> load_;
+  std::function<void(const std::string&)> progress_;
+};
+
+Json::Value as_row(const SocketRun& run, const emulator::Scenario& s, const char* policy) {
+  Json::Value row;
+  row["cell"]["policy"] = policy;
+  row["cell"]["seed"] = static_cast<Json::UInt64>(s.seed);
+  row["cell"]["scenario"] = s.name;
+  row["cell"]["params"] = Json::Value(Json::objectValue);
+  row["result"] = run.result;
+  row["result"]["wrong_answers"] = static_cast<Json::UInt64>(run.wrong_answers);
+  return row;
+}
+
+void print(const SocketRun& run) {
+  const Json::Value& r = run.result;
+  fmt::print("{:<16} {:>8} {:>9} {:>7} {:>8} {:>7} {:>8} {:>8}\n", "", "asked", "in time", "late", "refused", "failed", "p50 ms",
+             "p99 ms");
+  const auto line = [](const std::string& name, const Json::Value& c, const Json::Value* times) {
+    fmt::print("{:<16} {:>8} {:>9.4f} {:>7} {:>8} {:>7}", name, c["asked"].asUInt64(), c["goodput"].asDouble(),
+               c["late"].asUInt64(), c["refused"].asUInt64(), c["failed"].asUInt64());
+    if (times) fmt::print(" {:>8.1f} {:>8.1f}", 1e3 * (*times)["p50_s"].asDouble(), 1e3 * (*times)["p99_s"].asDouble());
+    fmt::print("\n");
+  };
+  line("all", r["all"], &r);
+  for (const std::string& name : r["classes"].getMemberNames()) line("class " + name, r["classes"][name], &r["classes"][name]);
+  for (const std::string& name : r["tenants"].getMemberNames()) line("tenant " + name, r["tenants"][name], nullptr);
+  fmt::print("attempts/request {:.3f}  connections to nodes {}  proxy CPU {:.0f} us/request  load at most {:.1f} ms late\n",
+             r["attempts_per_request"].asDouble(), r["node_connections"].asUInt64(), r["proxy_cpu_us_per_request"].asDouble(),
+             std::chrono::duration<double, std::milli>(run.latest_start).count());
+}
+
+class ShownProgress {
+ public:
+  void operator()(const std::string& text) {
+    if (!::isatty(STDERR_FILENO)) return;
+    std::fprintf(stderr, "\r\033[K%s", text.c_str());
+    std::fflush(stderr);
+    shown_ = true;
+  }
+  ~ShownProgress() {
+    if (shown_) std::fputs("\r\033[K", stderr);
+  }
+
+ private:
+  bool shown_ = false;
+};
+
+emulator::Scenario scenario_from(const std::string& file) {
+  if (file.empty()) return emulator::read_scenario(config::parse_toml(kDemo, "demo"), "demo");
+  return emulator::read_scenario(emulator::load_scenario(file), file);
+}
+
+int sockets(const std::string& file, const std::string& program, const std::string& json, const std::string& html) {
+  const emulator::Scenario s = scenario_from(file);
+  fmt::print("{}: {} stand-in nodes, {} real prox{}, {:.0f} requests/s for {:g} s\n", s.name, s.tiers[0].nodes, s.proxies,
+             s.proxies == 1 ? "y" : "ies", emulator::rate_per_s(s), std::chrono::duration<double>(s.length).count());
+  std::fflush(stdout);
+  SocketRun run;
+  {
+    ShownProgress progress;
+    run = play_on_sockets(s, program, [&progress](const std::string& text) { progress(text); });
+  }
+  print(run);
+  const Json::Value row = as_row(run, s, "real proxy");
+  if (!json.empty()) {
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    std::ofstream out(json);
+    if (!(out << Json::writeString(builder, row) << "\n").flush()) throw std::runtime_error(json + ": cannot be written");
+  }
+  if (!html.empty()) {
+    std::ofstream out(html);
+    if (!(out << experiments::html_report(s.name + ": the real proxy before stand-in nodes", {row}, {})).flush())
+      throw std::runtime_error(html + ": cannot be written");
+    fmt::print("report: {}\n", html);
+  }
+  if (run.wrong_answers > 0) {
+    std::fprintf(stderr, "%llu answers were not the ones to their requests\n", static_cast<unsigned long long>(run.wrong_answers));
+    return 3;
+  }
+  return 0;
+}
+
+Task<> until_told(runtime::Scheduler& scheduler, net::Fd signals, Clock::time_point at) {
+  runtime::IoSource io(scheduler, signals.get());
+  Wait wait(scheduler);
+  wait.readable(io).until(at);
+  co_await wait;
+  scheduler.stop();
+}
+
+int nodes(const std::string& file, const std::string& config_file, const std::string& listen, double seconds) {
+  const emulator::Scenario s = scenario_from(file);
+  sigset_t mask;
+  sigemptyset(&mask);
+  for (const int number : {SIGTERM, SIGINT}) sigaddset(&mask, number);
+  sigprocmask(SIG_BLOCK, &mask, nullptr);
+  net::Fd signals(::signalfd(-1, &mask, SFD_NONBLOCK | SFD_CLOEXEC));
+  runtime::Scheduler scheduler;
+  LabClock clock;
+  Fleet fleet(scheduler, clock, s);
+  const Json::Value config = proxy_config(s, "proxy-0", listen, fleet, s.seed * 1000);
+  if (!config_file.empty()) {
+    std::ofstream out(config_file);
+    if (!(out << config << "\n").flush()) throw std::runtime_error(config_file + ": cannot be written");
+  }
+  fmt::print("discovery {}\n", fleet.discovery().address());
+  for (const auto& n : fleet.nodes()) fmt::print("node-{} {}\n", n->id(), n->address());
+  std::fflush(stdout);
+  scheduler.spawn(fleet.play_faults({}));
+  const auto span = std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
+  scheduler.spawn(until_told(scheduler, std::move(signals), Clock::now() + span));
+  scheduler.run();
+  return 0;
+}
+
+}  // namespace
+
+SocketRun play_on_sockets(const emulator::Scenario& scenario, const std::string& program,
+                          const std::function<void(const std::string&)>& progress) {
+  if (::access(program.c_str(), X_OK) != 0) throw std::runtime_error(program + ": no program that can be started");
+  ::signal(SIGPIPE, SIG_IGN);
+  Run run(scenario, program, progress);
+  return run.play();
+}
+
+void add_socket_commands(CLI::App& app, int& code) {
+  struct Options {
+    std::string file, program = program_beside_us(), json, html, config, listen = "127.0.0.1:18080";
+    double seconds = 86'400;
+  };
+  const auto o = std::make_shared<Options>();
+  CLI::App* c = app.add_subcommand("nodes", "Play stand-in nodes and their discovery on loopback until told to end");
+  c->add_option("scenario", o->file, "Scenario file of one tier (TOML); a small day of its own if absent");
+  c->add_option("--config", o->config, "Write a proxy's configuration (GW_CONFIG) for these nodes here");
+  c->add_option("--listen", o->listen, "The proxy's address in it")->capture_default_str();
+  c->add_option("--for", o->seconds, "Seconds, at the most")->check(CLI::Range(0.1, 1e6));
+  c->callback([o, &code] { code = nodes(o->file, o->config, o->listen, o->seconds); });
+
+  c = app.add_subcommand("sockets", "Play a scenario of one tier with real proxies before stand-in nodes");
+  c->add_option("scenario", o->file, "Scenario file (TOML)")->required();
+  c->add_option("--proxy", o->program, "The proxy program")->capture_default_str();
+  c->add_option("--json", o->json, "Write the result here, as one line that `plot` reads");
+  c->add_option("--html", o->html, "Draw the result into this page");
+  c->callback([o, &code] { code = sockets(o->file, o->program, o->json, o->html); });
+
+  c = app.add_subcommand("demo", "A first run: nodes, discovery, the real proxy and a load; two nodes go silent and come back");
+  c->add_option("--proxy", o->program, "The proxy program")->capture_default_str();
+  c->add_option("--html", o->html, "Where the report goes; demo.html if absent");
+  c->callback([o, &code] { code = sockets("", o->program, "", o->html.empty() ? "demo.html" : o->html); });
+}
+
+}  // namespace beechhill::lab
--- a/src/lab/sockets.h
+++ b/src/lab/sockets.h
@@ -1,10 +1,30 @@
 // The lab's commands that open sockets, all on loopback.
 #pragma once
 
+#include <json/json.h>
+
 #include <CLI/CLI.hpp>
+#include <functional>
+#include <string>
+
+#include "emulator/scenario.h"
 
 namespace beechhill::lab {
 
-inline void add_socket_commands(CLI::App&, int&) {}
+// `nodes`, `sockets` and `demo`; `code` becomes the exit code.
+void add_socket_commands(CLI::App& app, int& code);
+
+struct SocketRun {
+  Json::Value result;            // in the emulator's form, as far as sockets show it
+  std::uint64_t wrong_answers = 0;
+  Duration latest_start{0};      // the furthest that the load was behind its time
+  double proxy_cpu_s = 0;        // of all proxies
+  std::uint64_t asked = 0;
+};
+// Plays the scenario with stand-in nodes and `scenario.proxies` real proxies, `program` each, and stops all that it
+// started. Blocks for the scenario's length and a little. Throws std::invalid_argument for what sockets can't
+// play, std::runtime_error where a proxy does not come up. `progress` is called about once a second.
+SocketRun play_on_sockets(const emulator::Scenario& scenario, const std::string& program,
+                          const std::function<void(const std::string&)>& progress = {});
 
 }  // namespace beechhill::lab
--- /dev/null
+++ b/src/lab/standin.cpp
@@ -0,0 +1,481 @@
+#include "lab/standin.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+
+#include "http/message.h"
+
+namespace beechhill::lab {
+
+using namespace std::chrono_literals;
+using emulator::FaultKind;
+using emulator::FaultSpec;
+using net::Io;
+using runtime::Clock;
+using runtime::Task;
+using runtime::TimePoint;
+using runtime::Wait;
+
+namespace {
+
+constexpr auto kFar = 1h;            // a stand-in waits as long as its peer likes
+constexpr double kMostWork = 3600e6;  // core-microseconds of one request
+constexpr auto kWatchLine = 2s;      // an empty line shows that the watch stands
+
+sockaddr_in any_port() { return *net::parse_address("127.0.0.1:0"); }
+
+// Reads one whole request. False where the connection has ended or what came is none.
+Task<bool> read_request(net::Stream& stream, std::string& buffer, http::Message& message) {
+  http::Parser parser(http::Parser::Kind::kRequest);
+  http::Progress progress = parser.feed(buffer);
+  while (progress == http::Progress::kMore) {
+    const Io io = co_await stream.read(buffer, Clock::now() + kFar);
+    if (io != Io::kOk) co_return false;
+    progress = parser.feed(buffer);
+  }
+  message = std::move(parser.message());
+  co_return progress == http::Progress::kDone;
+}
+
+double work_in(const std::string& target) {
+  const std::size_t at = target.find("work_us=");
+  if (at == std::string::npos) return 0;
+  const std::size_t from = at + 8, to = std::min(target.find('&', from), target.size());
+  const auto work = http::whole_number(std::string_view(target).substr(from, to - from));
+  return work ? std::min(kMostWork, static_cast<double>(*work)) / 1e6 : 0;
+}
+
+const char* word(ServerState state) {
+  return state == ServerState::kUp ? "in_service" : state == ServerState::kDraining ? "terminating" : "terminated";
+}
+
+std::string compact(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+}  // namespace
+
+// ---- Node
+
+StandInNode::StandInNode(runtime::Scheduler& scheduler, const LabClock& clock, const emulator::Scenario& scenario,
+                         ServerId id)
+    : scheduler_(scheduler),
+      clock_(clock),
+      spec_(scenario.tiers[0]),
+      model_(spec_, scenario.seed, id, std::nullopt, clock.now()),
+      random_(scenario.seed, emulator::Actor::kNode, id + (1ULL << 32)),
+      id_(id),
+      address_(any_port()) {
+  listen();
+  scheduler_.spawn(tick());
+}
+
+std::string StandInNode::address() const { return net::to_string(address_); }
+
+void StandInNode::listen() {
+  listener_ = std::make_unique<net::Listener>(scheduler_, address_);
+  address_ = listener_->address();  // the same port in each life
+  accepting_ = scheduler_.spawn(accept());
+}
+
+void StandInNode::set_mode(Mode mode) {
+  if (mode == mode_) return;
+  mode_ = mode;
+  const Time now = clock_.now();
+  phases_ = {};
+  if (mode != Mode::kUp) {
+    model_.restart(now, now);  // what it held is lost
+    jobs_.clear();
+  }
+  if (mode == Mode::kSilent) return;  // connections stand, and nothing more is said on them
+  const std::set<runtime::TaskId> serving = std::move(serving_);
+  serving_.clear();
+  for (const runtime::TaskId id : serving) scheduler_.cancel(id);
+  if (mode == Mode::kDown) {
+    scheduler_.cancel(accepting_);
+    listener_.reset();
+    return;
+  }
+  model_.restart(now, now);
+  if (!listener_) listen();
+}
+
+Task<> StandInNode::accept() {
+  for (;;) {
+    net::Fd taken;
+    sockaddr_in from{};
+    const Io io = co_await listener_->accept(Clock::now() + kFar, taken, from);
+    if (io == Io::kError) {  // descriptors are short: others must end first
+      Wait wait(scheduler_);
+      wait.until(Clock::now() + 10ms);
+      co_await wait;
+    }
+    if (io != Io::kOk) continue;
+    ++accepted_;
+    auto stream = std::make_shared<net::Stream>(scheduler_, std::move(taken));
+    const auto self = std::make_shared<runtime::TaskId>(0);
+    *self = scheduler_.spawn(serve(std::move(stream), self));
+    serving_.insert(*self);
+  }
+}
+
+Task<> StandInNode::serve(std::shared_ptr<net::Stream> stream, std::shared_ptr<runtime::TaskId> self) {
+  struct Leave {
+    std::set<runtime::TaskId>& all;
+    std::shared_ptr<runtime::TaskId> id;
+    ~Leave() { all.erase(*id); }
+  } leave{serving_, std::move(self)};
+  std::string buffer;
+  bool fresh = true;
+  for (;;) {
+    http::Message request;
+    const bool whole = co_await read_request(*stream, buffer, request);
+    if (!whole) co_return;
+    if (mode_ == Mode::kSilent) continue;
+    ++taken_;
+    const Time now = clock_.now();
+    const std::string* id = request.headers.find("X-Trace-Id");
+    int status = 200;
+    std::string extra;
+    Job job;
+    std::vector<emulator::Start> starts;
+    const emulator::JobId number = next_job_++;
+    const double handshake = fresh ? std::chrono::duration<double>(spec_.handshake_work).count() : 0;
+    fresh = false;
+    if (!id) {
+      status = 404;
+    } else if (errors_ > 0 && random_.uniform() < errors_) {
+      status = 500;
+    } else if (!model_.take(now, number, work_in(request.target) * spec_.work + handshake, starts)) {
+      status = 503;
+      extra = "X-Never-Ran: 1\r\n";
+    } else {
+      jobs_[number] = &job;
+      schedule(starts);
+      Wait wait(scheduler_);
+      wait.notified(job.done);
+      co_await wait;
+    }
+    extra += report(clock_.now());
+    const std::string body = (id ? *id : "") + " served\n";
+    const std::string answer = http::write_response(status, extra, body, false);
+    const Io io = co_await stream->write(answer, Clock::now() + kFar);
+    if (io != Io::kOk) co_return;
+  }
+}
+
+// Ends phases at the times that the model gave them, however late the machine's timer is: a timer of 1 ms must not
+// slow the node down.
+Task<> StandInNode::tick() {
+  for (;;) {
+    while (!phases_.empty() && phases_.top().until <= clock_.now()) {
+      const emulator::Start phase = phases_.top();
+      phases_.pop();
+      const auto it = jobs_.find(phase.job);
+      if (it != jobs_.end()) {
+        it->second->done.notify();
+        jobs_.erase(it);
+      }
+      std::vector<emulator::Start> starts;
+      model_.phase_done(phase.until, true, starts);
+      schedule(starts);
+    }
+    Wait wait(scheduler_);
+    wait.notified(rescheduled_);
+    if (!phases_.empty()) wait.until(clock_.point(phases_.top().until));
+    co_await wait;
+  }
+}
+
+void StandInNode::schedule(const std::vector<emulator::Start>& starts) {
+  for (const emulator::Start& start : starts) phases_.push(start);
+  if (!starts.empty()) rescheduled_.notify();
+}
+
+std::string StandInNode::report(Time now) {
+  const LoadReport r = model_.report(now, late_);
+  if (!r.utilisation || !r.rate_per_s) return "";
+  return fmt::format("Endpoint-Load-Metrics: TEXT cpu_share={:.4f}, served_ps={:.2f}, pending={}\r\n", *r.utilisation,
+                     *r.rate_per_s, model_.waiting());
+}
+
+// ---- Discovery
+
+StandInDiscovery::StandInDiscovery(runtime::Scheduler& scheduler, const LabClock& clock)
+    : scheduler_(scheduler), clock_(clock), listener_(scheduler, any_port()) {
+  scheduler_.spawn(accept());
+}
+
+std::string StandInDiscovery::address() const { return net::to_string(listener_.address()); }
+
+void StandInDiscovery::tell(Json::Value row, Time at) {
+  if (!changes_.empty()) at = std::max(at, changes_.back().due);
+  changes_.push_back({at, std::move(row)});
+  for (runtime::Notifier* w : watchers_) w->notify();
+}
+
+void StandInDiscovery::settle() {
+  for (; told_ < changes_.size() && changes_[told_].due <= clock_.now(); ++told_) {
+    const Json::Value& row = changes_[told_].row;
+    if (row["health"].asString() == "terminated") {
+      hosts_.erase(row["host"].asString());
+    } else {
+      hosts_[row["host"].asString()] = row;
+    }
+  }
+}
+
+Json::Value StandInDiscovery::whole_list() const {
+  Json::Value list;
+  list["seq"] = static_cast<Json::UInt64>(told_);
+  list["whole"] = true;
+  list["hosts"] = Json::Value(Json::arrayValue);
+  for (const auto& [host, row] : hosts_) list["hosts"].append(row);
+  return list;
+}
+
+Task<> StandInDiscovery::accept() {
+  for (;;) {
+    net::Fd taken;
+    sockaddr_in from{};
+    const Io io = co_await listener_.accept(Clock::now() + kFar, taken, from);
+    if (io != Io::kOk) continue;
+    auto stream = std::make_shared<net::Stream>(scheduler_, std::move(taken));
+    scheduler_.spawn(serve(std::move(stream)));
+  }
+}
+
+Task<> StandInDiscovery::serve(std::shared_ptr<net::Stream> stream) {
+  struct Watcher {  // leaves the list with its frame
+    std::set<runtime::Notifier*>& all;
+    runtime::Notifier changed;
+    explicit Watcher(std::set<runtime::Notifier*>& a) : all(a) { all.insert(&changed); }
+    ~Watcher() { all.erase(&changed); }
+  } watcher(watchers_);
+  std::string buffer;
+  http::Message request;
+  const bool whole = co_await read_request(*stream, buffer, request);
+  if (!whole) co_return;
+  settle();
+  if (request.target.find("watch=1") == std::string::npos) {
+    const std::string list = compact(whole_list()) + "\n";
+    const std::string answer = http::write_response(200, "", list, true);
+    const Io io = co_await stream->write(answer, Clock::now() + kFar);
+    (void)io;
+    co_return;
+  }
+  std::string out = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string line = compact(whole_list()) + "\n";
+  std::size_t version = told_;
+  for (;;) {
+    out += fmt::format("{:x}\r\n{}\r\n", line.size(), line);
+    const Io io = co_await stream->write(out, Clock::now() + kFar);
+    if (io != Io::kOk) co_return;
+    out.clear();
+    line = "\n";
+    const TimePoint quiet = Clock::now() + kWatchLine;
+    while (Clock::now() < quiet) {
+      settle();
+      if (told_ > version) break;
+      Wait wait(scheduler_);
+      const TimePoint due = told_ < changes_.size() ? std::min(quiet, clock_.point(changes_[told_].due)) : quiet;
+      wait.until(due).notified(watcher.changed);
+      co_await wait;
+    }
+    if (told_ == version) continue;
+    Json::Value list;
+    list["seq"] = static_cast<Json::UInt64>(told_);
+    list["whole"] = false;
+    list["hosts"] = Json::Value(Json::arrayValue);
+    for (; version < told_; ++version) list["hosts"].append(changes_[version].row);
+    line = compact(list) + "\n";
+  }
+}
+
+// ---- Fleet
+
+Fleet::Fleet(runtime::Scheduler& scheduler, const LabClock& clock, const emulator::Scenario& scenario)
+    : scheduler_(scheduler),
+      clock_(clock),
+      s_(scenario),
+      discovery_(scheduler, clock),
+      struck_(scenario.faults.size()),
+      lags_(scenario.seed, emulator::Actor::kDiscovery, 0) {
+  if (s_.tiers.size() != 1) throw std::invalid_argument("tier: stand-in nodes play one tier");
+  for (const FaultSpec& f : s_.faults)
+    if (f.kind == FaultKind::kReplace || f.kind == FaultKind::kPartition)
+      throw std::invalid_argument("fault.kind: replace and partition are the emulator's alone");
+  for (ServerId id = 0; id < s_.tiers[0].nodes; ++id) {
+    nodes_.push_back(std::make_unique<StandInNode>(scheduler_, clock_, s_, id));
+    discovery_.tell(row(*nodes_.back(), ServerState::kUp), Time::min());
+  }
+}
+
+Json::Value Fleet::row(const StandInNode& node, ServerState state) const {
+  Json::Value r;
+  r["host"] = fmt::format("node-{}", node.id());
+  r["dial"] = node.address();
+  r["site"] = fmt::format("zone-{}", node.zone());
+  r["class"] = s_.tiers[0].name;
+  r["block"] = node.cell();
+  r["health"] = word(state);
+  r["share"] = 1.0;
+  std::int64_t born = 0;
+  if (node.born()) {
+    const auto ago = clock_.now() - *node.born();
+    born = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch() - ago)
+               .count();
+  }
+  r["born_ms"] = static_cast<Json::Int64>(born);
+  return r;
+}
+
+void Fleet::tell(const StandInNode& node, ServerState state, Duration more) {
+  const double spread = lags_.uniform() * std::chrono::duration<double>(s_.list_spread).count();
+  const Duration lag = s_.list_lag + Duration(std::llround(spread * 1e6)) + stale_ + more;
+  discovery_.tell(row(node, state), clock_.now() + lag);
+}
+
+std::vector<std::size_t> Fleet::victims(std::size_t fault) const {
+  const FaultSpec& f = s_.faults[fault];
+  std::vector<std::size_t> all, chosen;
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    if (f.zone >= 0 && nodes_[i]->zone() != static_cast<std::uint32_t>(f.zone)) continue;
+    if (f.cell >= 0 && nodes_[i]->cell() != static_cast<std::uint32_t>(f.cell)) continue;
+    all.push_back(i);
+  }
+  emulator::Stream random(s_.seed, emulator::Actor::kFaults, fault);
+  for (std::size_t left = emulator::nodes_struck(f, all.size()); left > 0 && !all.empty(); --left) {
+    const std::size_t i = random.below(all.size());
+    chosen.push_back(all[i]);
+    all[i] = all.back();
+    all.pop_back();
+  }
+  return chosen;
+}
+
+void Fleet::begin(std::size_t fault) {
+  const FaultSpec& f = s_.faults[fault];
+  struck_[fault] = victims(fault);
+  if (f.kind == FaultKind::kStaleList) stale_ = f.delay;
+  if (f.kind == FaultKind::kProxyCrash && proxies_) proxies_(f.part, true);
+  if (f.kind == FaultKind::kLateReports)
+    for (auto& n : nodes_) n->delay_reports(f.delay);
+  for (const std::size_t i : struck_[fault]) {
+    StandInNode& n = *nodes_[i];
+    if (f.kind == FaultKind::kErrors) n.set_errors(f.factor);
+    if (f.kind == FaultKind::kSlow) n.slow_down(f.factor);
+    if (f.kind == FaultKind::kDrain) tell(n, ServerState::kDraining);
+    if (f.kind == FaultKind::kCrash) {
+      n.set_mode(StandInNode::Mode::kDown);
+      tell(n, ServerState::kRemoved);
+    }
+    if (f.kind == FaultKind::kSilent) {
+      n.set_mode(StandInNode::Mode::kSilent);
+      if (s_.silent_notice > Duration{0} && s_.silent_notice < f.length) tell(n, ServerState::kRemoved, s_.silent_notice);
+    }
+  }
+}
+
+void Fleet::end(std::size_t fault) {
+  const FaultSpec& f = s_.faults[fault];
+  if (f.kind == FaultKind::kStaleList) stale_ = Duration{0};
+  if (f.kind == FaultKind::kProxyCrash && proxies_) proxies_(f.part, false);
+  if (f.kind == FaultKind::kLateReports)
+    for (auto& n : nodes_) n->delay_reports(Duration{0});
+  for (const std::size_t i : struck_[fault]) {
+    StandInNode& n = *nodes_[i];
+    if (f.kind == FaultKind::kErrors) n.set_errors(0);
+    if (f.kind == FaultKind::kSlow) n.slow_down(1);
+    if (f.kind == FaultKind::kDrain) n.set_mode(StandInNode::Mode::kDown);
+    if (f.kind == FaultKind::kDrain || f.kind == FaultKind::kCrash || f.kind == FaultKind::kSilent) {
+      n.set_mode(StandInNode::Mode::kUp);
+      tell(n, ServerState::kUp);
+    }
+  }
+}
+
+Task<> Fleet::play_faults(std::function<void(double part, bool down)> proxies) {
+  proxies_ = std::move(proxies);
+  struct Turn {
+    Time at{0};
+    std::size_t fault = 0;
+    bool begins = false;
+  };
+  std::vector<Turn> turns;
+  for (std::size_t i = 0; i < s_.faults.size(); ++i) {
+    turns.push_back({s_.faults[i].at, i, true});
+    turns.push_back({s_.faults[i].at + s_.faults[i].length, i, false});
+  }
+  std::stable_sort(turns.begin(), turns.end(), [](const Turn& a, const Turn& b) { return a.at < b.at; });
+  for (const Turn& turn : turns) {
+    Wait wait(scheduler_);
+    wait.until(clock_.point(turn.at));
+    co_await wait;
+    turn.begins ? begin(turn.fault) : end(turn.fault);
+  }
+}
+
+Json::Value proxy_config(const emulator::Scenario& s, const std::string& name, const std::string& listen,
+                         Fleet& fleet, std::uint64_t seed) {
+  const Settings told = emulator::settings_for(s, 0, 0, s.proxies, seed);
+  Json::Value c;
+  c["name"] = name;
+  c["listen"] = listen;
+  c["discovery"] = fleet.discovery().address();
+  c["seed"] = fmt::format("{:016x}", seed);
+  c["limits"]["sockets"] = 4096;
+  Json::Value& o = c["settings"];
+  const auto span = [](Duration d) { return static_cast<Json::Int64>(d.count()); };
+  o["zone"] = "zone-0";
+  o["tier"] = 0;
+  o["tiers"].append(s.tiers[0].name);
+  o["replicas-of-me"] = s.proxies;
+  o["discovery"] = "push";
+  o["over-share-worth"] = told.over_share_worth;
+  for (std::size_t i = 0; i < told.classes.size(); ++i) {
+    const ClassSettings& k = told.classes[i];
+    static constexpr const char* kRepeat[] = {"repeatable", "by_key", "once"};
+    static constexpr const char* kGroup[] = {"all", "zone", "cell"};
+    Json::Value p;
+    p["name"] = s.classes[i].name;
+    p["repeat"] = kRepeat[static_cast<std::size_t>(k.effect)];
+    p["group"] = kGroup[static_cast<std::size_t>(k.group)];
+    p["memory-span"] = span(k.memory_span);
+    p["aim"] = span(k.aim);
+    p["deadline"] = span(k.deadline);
+    p["late-worth"] = k.late_worth;
+    p["worth"] = k.worth;
+    o["profiles"].append(p);
+  }
+  for (std::size_t i = 0; i < told.tenants.size(); ++i) {
+    Json::Value t;
+    t["name"] = s.tenants[i].name;
+    t["share"] = told.tenants[i].share;
+    t["allowance-per-s"] = told.tenants[i].allowance_per_s;
+    o["tenants"].append(t);
+  }
+  Json::Value& g = o["guarantees"];
+  g["drain-grace"] = span(told.drain_grace);
+  g["cold"] = span(told.cold_span);
+  g["cold-from"] = told.cold_from;
+  g["fall-multiple"] = told.fall_multiple;
+  g["tip-after"] = span(told.tip_after);
+  Json::Value& l = o["limits"];
+  l["probes"] = told.may_probe;
+  l["may-cancel"] = told.may_cancel;
+  l["parallel-tries"] = told.parallel_tries;
+  l["most-tries"] = told.most_tries;
+  l["connect-timeout"] = span(told.connect_timeout);
+  l["idle-close"] = span(told.idle_close);
+  l["retry-after"] = told.max_retry_after > Duration{0};
+  l["max-retry-after"] = span(told.max_retry_after);
+  return c;
+}
+
+}  // namespace beechhill::lab
--- /dev/null
+++ b/src/lab/standin.h
@@ -0,0 +1,143 @@
+// Stand-in nodes and their discovery on loopback, as a scenario of one tier describes them: the same node model as
+// the emulator's, with real sockets round it.
+#pragma once
+
+#include <json/json.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "emulator/node.h"
+#include "net/socket.h"
+#include "runtime/scheduler.h"
+
+namespace beechhill::lab {
+
+// One clock for all of a run: the scenario's time 0 is when the load begins.
+struct LabClock {
+  runtime::TimePoint zero = runtime::Clock::now();
+  Time now() const { return std::chrono::duration_cast<Time>(runtime::Clock::now() - zero); }
+  runtime::TimePoint point(Time at) const { return zero + at; }
+};
+
+// An HTTP/1.1 node. A request says its work in core-microseconds as `work_us` in its query. What is lost in a crash
+// is reset; a silent node takes what comes and never answers.
+class StandInNode {
+ public:
+  enum class Mode { kUp, kSilent, kDown };
+
+  StandInNode(runtime::Scheduler& scheduler, const LabClock& clock, const emulator::Scenario& scenario,
+              ServerId id);
+  std::string address() const;
+  void set_mode(Mode mode);         // coming up from anything else starts it again, cold
+  void set_errors(double share) { errors_ = share; }
+  void slow_down(double times) { model_.slow_down(times); }
+  void delay_reports(Duration by) { late_ = by; }
+  const std::optional<Time>& born() const { return model_.born(); }
+  ServerId id() const { return id_; }
+  std::uint32_t cell() const { return id_ / spec_.cell_size; }
+  std::uint32_t zone() const { return cell() % spec_.zones; }
+  std::uint64_t taken() const { return taken_; }  // whole requests read, of all lives
+  std::uint64_t connections() const { return accepted_; }
+  std::size_t busiest() const { return model_.most_waiting(); }
+
+ private:
+  struct Job {
+    runtime::Notifier done;
+  };
+  runtime::Task<> accept();
+  runtime::Task<> serve(std::shared_ptr<net::Stream> stream, std::shared_ptr<runtime::TaskId> self);
+  runtime::Task<> tick();
+  void listen();
+  void schedule(const std::vector<emulator::Start>& starts);
+  std::string report(Time now);
+
+  runtime::Scheduler& scheduler_;
+  const LabClock& clock_;
+  const emulator::TierSpec spec_;
+  emulator::Node model_;
+  emulator::Stream random_;
+  ServerId id_;
+  sockaddr_in address_{};
+  std::unique_ptr<net::Listener> listener_;
+  runtime::TaskId accepting_ = 0;
+  std::set<runtime::TaskId> serving_;
+  Mode mode_ = Mode::kUp;
+  double errors_ = 0;
+  Duration late_{0};
+  std::map<emulator::JobId, Job*> jobs_;
+  emulator::JobId next_job_ = 1;
+  struct Later {
+    bool operator()(const emulator::Start& a, const emulator::Start& b) const { return a.until > b.until; }
+  };
+  std::priority_queue<emulator::Start, std::vector<emulator::Start>, Later> phases_;
+  runtime::Notifier rescheduled_;
+  std::uint64_t taken_ = 0, accepted_ = 0;
+};
+
+// The list of nodes, as the protocol page's registry tells it: whole, or watched with changes as they come due.
+class StandInDiscovery {
+ public:
+  StandInDiscovery(runtime::Scheduler& scheduler, const LabClock& clock);
+  std::string address() const;
+  // What is told from `at` on, in the order of the calls.
+  void tell(Json::Value row, Time at);
+  Json::Value whole_list() const;  // as told by now
+
+ private:
+  runtime::Task<> accept();
+  runtime::Task<> serve(std::shared_ptr<net::Stream> stream);
+  void settle();
+
+  runtime::Scheduler& scheduler_;
+  const LabClock& clock_;
+  net::Listener listener_;
+  struct Change {
+    Time due{0};
+    Json::Value row;
+  };
+  std::vector<Change> changes_;  // all of the run; how many are told is its version
+  std::size_t told_ = 0;
+  std::map<std::string, Json::Value> hosts_;
+  std::set<runtime::Notifier*> watchers_;
+};
+
+// Nodes, their discovery and the faults that the scenario has for them.
+class Fleet {
+ public:
+  // Throws std::invalid_argument for a scenario that sockets can't play: more than one tier, or faults of other
+  // kinds than silent, errors, slow, late_reports, stale_list, crash, drain, proxy_crash, burst, tenant_burst.
+  Fleet(runtime::Scheduler& scheduler, const LabClock& clock, const emulator::Scenario& scenario);
+  // Plays the faults by the clock. `proxies` is told when proxies are to die (true) and to come back.
+  runtime::Task<> play_faults(std::function<void(double part, bool down)> proxies);
+  StandInDiscovery& discovery() { return discovery_; }
+  const std::vector<std::unique_ptr<StandInNode>>& nodes() const { return nodes_; }
+
+ private:
+  Json::Value row(const StandInNode& node, ServerState state) const;
+  void tell(const StandInNode& node, ServerState state, Duration more = Duration{0});
+  std::vector<std::size_t> victims(std::size_t fault) const;
+  void begin(std::size_t fault);
+  void end(std::size_t fault);
+
+  runtime::Scheduler& scheduler_;
+  const LabClock& clock_;
+  const emulator::Scenario& s_;
+  StandInDiscovery discovery_;
+  std::vector<std::unique_ptr<StandInNode>> nodes_;
+  std::vector<std::vector<std::size_t>> struck_;
+  emulator::Stream lags_;
+  Duration stale_{0};
+  std::function<void(double, bool)> proxies_;
+};
+
+// The configuration (GW_CONFIG) of a real proxy in front of it.
+Json::Value proxy_config(const emulator::Scenario& scenario, const std::string& name, const std::string& listen,
+                         Fleet& fleet, std::uint64_t seed);
+
+}  // namespace beechhill::lab
