--- a/src/experiments/plot.cpp
+++ b/src/experiments/plot.cpp
@@ -115,7 +115,8 @@
 std::string label_of(const Json::Value& params) {
   std::string out;
   for (const std::string& key : params.getMemberNames())
-    out += (out.empty() ? "" : ", ") + key + "=" + params[key].asString();
+    out += (out.empty() ? "" : ", ") + key + "=" +
+           (params[key].type() == Json::realValue ? fmt::format("{:g}", params[key].asDouble()) : params[key].asString());
   return out;
 }
 
@@ -214,13 +215,18 @@
   std::vector<std::string> order;
   const std::vector<std::pair<const char*, const char*>> columns{
       {"goodput", "goodput"}, {"p50_s", "p50 s"}, {"p99_s", "p99 s"}, {"p999_s", "p99.9 s"}, {"waste", "waste"},
-      {"tries_per_request", "tries"}, {"attempts_per_request", "attempts"}, {"recovery_s", "recovery s"}};
+      {"tries_per_request", "tries"}, {"attempts_per_request", "attempts"}};
   for (const Json::Value& row : rows) {
     const std::string label = label_of(row["cell"]["params"]);
     if (!all.contains(label)) order.push_back(label);
     auto& cell = all[label][row["cell"]["policy"].asString()];
     for (const auto& [key, title] : columns)
       if (row["result"].isMember(key)) cell[key].add(row["result"][key].asDouble());
+    if (row["result"].isMember("recovery_s")) {
+      const double recovery = row["result"]["recovery_s"].asDouble();
+      cell["runs"].add(1);
+      if (recovery >= 0) cell["recovery"].add(recovery);
+    }
     double broken = 0;
     for (const std::string& rule : row["result"]["rules"].getMemberNames())
       broken += row["result"]["rules"][rule].asDouble();
@@ -229,7 +235,7 @@
   }
   std::string out = "<table><tr><th>setting</th><th>policy</th>";
   for (const auto& [key, title] : columns) out += fmt::format("<th>{}</th>", title);
-  out += "<th>refused</th><th>rules broken</th></tr>\n";
+  out += "<th>recovery s</th><th>refused</th><th>rules broken</th></tr>\n";
   for (const std::string& label : order)
     for (const auto& [policy, cell] : all[label]) {
       out += fmt::format("<tr><td>{}</td><td>{}</td>", escape(label), escape(policy));
@@ -237,7 +243,14 @@
         const auto it = cell.find(key);
         out += it == cell.end() ? "<td></td>" : fmt::format("<td>{:.4f}</td>", it->second.get());
       }
-      out += fmt::format("<td>{:.4f}</td><td>{:g}</td></tr>\n", cell.at("refused").get(), cell.at("broken").sum);
+      const auto runs = cell.find("runs"), recovered = cell.find("recovery");
+      out += "<td>";
+      if (recovered != cell.end()) out += fmt::format("{:.1f}", recovered->second.get());
+      if (runs != cell.end()) {
+        const int never = runs->second.count - (recovered != cell.end() ? recovered->second.count : 0);
+        if (never > 0) out += fmt::format(" (never in {} of {} runs)", never, runs->second.count);
+      }
+      out += fmt::format("</td><td>{:.4f}</td><td>{:g}</td></tr>\n", cell.at("refused").get(), cell.at("broken").sum);
     }
   return out + "</table>\n";
 }
