--- a/src/experiments/plot.cpp
+++ b/src/experiments/plot.cpp
@@ -17,6 +17,8 @@
 #include <sstream>
 #include <stdexcept>
 
+#include "experiments/temp_folder.h"
+
 extern char** environ;
 
 namespace beechhill::experiments {
@@ -44,25 +46,6 @@
   bool log_x = false, log_y = false, from_zero = true;
 };
 
-class TempDir {
- public:
-  TempDir() {
-    std::string path = (std::filesystem::temp_directory_path() / "beechhill-plot-XXXXXX").string();
-    if (!::mkdtemp(path.data())) throw std::runtime_error("no temporary folder can be made");
-    path_ = path;
-  }
-  ~TempDir() {
-    std::error_code ignored;
-    std::filesystem::remove_all(path_, ignored);
-  }
-  TempDir(const TempDir&) = delete;
-  TempDir& operator=(const TempDir&) = delete;
-  std::string file(const char* name) const { return (path_ / name).string(); }
-
- private:
-  std::filesystem::path path_;
-};
-
 // gnuplot's text in double quotes: what could end it or be a command goes.
 std::string quoted(const std::string& text) {
   std::string out = "\"";
@@ -70,7 +53,7 @@
   return out + "\"";
 }
 
-std::string draw(const Plot& plot, const TempDir& dir, int number) {
+std::string draw(const Plot& plot, const TempFolder& dir, int number) {
   const std::string script = dir.file("plot.gp"), image = dir.file("plot.svg");
   std::ostringstream s;
   s << "set terminal svg size 760,420 dynamic font 'sans-serif,13' name 'p" << number << "' background 'white'\n";
@@ -290,7 +273,7 @@
                     "table{border-collapse:collapse;font-size:13px}td,th{border:1px solid #ccc;padding:3px 7px;text-align:right}"
                     "td:first-child,td:nth-child(2){text-align:left}svg{max-width:100%;height:auto;margin:1em 0}</style></head><body><h1>" +
                     escape(title) + "</h1>\n";
-  const TempDir dir;
+  const TempFolder dir;
   int number = 0;
   for (const Plot& plot : plots)
     if (std::any_of(plot.lines.begin(), plot.lines.end(), [](const Line& l) { return !l.points.empty(); }))
--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -15,6 +15,7 @@
 #include <thread>
 
 #include "experiments/plot.h"
+#include "experiments/temp_folder.h"
 #include "http/message.h"
 #include "lab/load.h"
 
@@ -75,25 +76,6 @@
 nodes = 2
 )";
 
-class TempFolder {
- public:
-  TempFolder() {
-    std::string path = (std::filesystem::temp_directory_path() / "beechhill-lab-XXXXXX").string();
-    if (!::mkdtemp(path.data())) throw std::runtime_error("no temporary folder can be made");
-    path_ = path;
-  }
-  ~TempFolder() {
-    std::error_code ignored;
-    std::filesystem::remove_all(path_, ignored);
-  }
-  TempFolder(const TempFolder&) = delete;
-  TempFolder& operator=(const TempFolder&) = delete;
-  std::string file(const std::string& name) const { return (path_ / name).string(); }
-
- private:
-  std::filesystem::path path_;
-};
-
 // A free port: whoever is to listen on it is told only its number, so it is given back first. Loopback ports are given
 // out in turn, so that it is not given to another meanwhile.
 sockaddr_in free_address(runtime::Scheduler& scheduler) {
@@ -104,7 +86,7 @@
 // One real proxy as a child process.
 class ProxyProcess {
  public:
-  ProxyProcess(const TempFolder& folder, const std::string& program, Json::Value config, sockaddr_in address)
+  ProxyProcess(const experiments::TempFolder& folder, const std::string& program, Json::Value config, sockaddr_in address)
       : program_(program), address_(address) {
     const std::string name = config["name"].asString();
     config_ = folder.file(name + ".json");
@@ -268,7 +250,7 @@
   }
 
   const emulator::Scenario& s_;
-  TempFolder folder_;
+  experiments::TempFolder folder_;
   runtime::Scheduler scheduler_;
   LabClock clock_;
   Fleet fleet_;
