--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "ranked_set.h"
 #include "state.h"
 
 namespace beechhill {
@@ -39,6 +40,9 @@
 constexpr double kRounds = 4;             // over the servers, that own sends are remembered at the least
 constexpr double kRateSpan = 5;           // seconds, memory of the rate of own sends
 constexpr double kFewServers = 8;         // that an instance uses at the least
+constexpr std::size_t kLookAtAll = 64;    // servers, of which each choice looks at every one
+constexpr int kSample = 20;               // of more, so many at random: 7 of 8 times one of the best tenth
+constexpr int kSurveyShare = 10;          // what they show together is summed once in n / this many choices
 constexpr double kRetryShare = 0.1;       // retries that may follow a possible effect, per first send
 constexpr double kProbeCost = 0.006;      // of the result that probes may cost
 constexpr double kFirstProbes = 4;        // of a new instance, which would crowd the slowest kind
@@ -254,10 +258,10 @@
     return s.budget.tokens >= 1;
   }
 
+  bool anywhere(const Call& c) const { return !c.maybe_ran || settings(c).effect == Effect::kRepeatable; }
   bool group_allows(const Call& c, const Server& s) const {
-    if (!c.maybe_ran) return true;
+    if (anywhere(c)) return true;
     const auto& k = settings(c);
-    if (k.effect == Effect::kRepeatable) return true;
     const Attempt& first = c.attempts[*c.maybe_ran];
     if (k.effect == Effect::kOnce || now_ >= first.sent + k.memory_span) return false;
     const ServerEntry& e = servers_[first.server].entry;
@@ -267,13 +271,19 @@
 
   // Guards against meeting each of many servers so seldom that a slow one is never told: few are in use.
   std::optional<ServerId> pick(const Call& c) {
-    survey();
+    if (few() || choices_++ >= servers_.size() / kSurveyShare) survey();
     in_use_ = std::min<double>(up_servers_, std::max(kFewServers, seconds(kEvidenceSpan) * send_rate()));
     const auto best = least_loaded(c, in_use_);
     return best ? best : least_loaded(c, kOpen);
   }
 
+  bool few() const { return servers_.size() <= kLookAtAll; }
+
+  // One of the first so many that are up.
+  ServerId any_of(double first) { return ranked_[static_cast<std::size_t>(uniform() * first)]; }
+
   void survey() {  // what the servers show together
+    choices_ = 0;
     Evidence all;
     int warm = 0, present = 0;
     std::fill(kinds_.begin(), kinds_.end(), Evidence{});
@@ -300,9 +310,10 @@
   std::optional<ServerId> least_loaded(const Call& c, double reach) {
     std::optional<ServerId> best;
     double least = kOpen;
-    for (ServerId id = 0; id < servers_.size(); ++id) {
+    const auto consider = [&](ServerId id) {
       Server& s = servers_[id];
-      if (s.order * up_servers_ > reach || !usable(s) || !group_allows(c, s)) continue;
+      if (!usable(s) || !group_allows(c, s)) return;
+      decay(s);
       double load = s.open + s.recent + s.turn;
       if (s_.cross_zone_price > 0 && s.entry.zone != s_.zone) load += 1;
       for (const auto& a : c.attempts) load += a.server == id ? 4 : 0;
@@ -314,9 +325,17 @@
       const double blame = s_.tier + 1 == s_.tier_count ? kErrorLoad : 1;  // above, it may come from below
       load *= 1 + blame * excess_errors(s, c.request.class_id);
       load /= std::max(relative_weight(s), kWeightFloor) * warmth(s);
-      if (load >= least) continue;
+      if (load >= least) return;
       best = id;
       least = load;
+    };
+    if (few() || !anywhere(c)) {
+      for (ServerId id = 0; id < servers_.size(); ++id)
+        if (servers_[id].order * up_servers_ <= reach) consider(id);
+    } else if (const auto among = std::min<double>(std::ceil(reach), ranked_.size()); among > 0) {
+      // Guards against a choice that walks a whole big fleet, and against all instances running to the one
+      // server that looks idle to each.
+      for (int i = 0; i < kSample; ++i) consider(any_of(among));
     }
     return best;
   }
@@ -550,13 +569,17 @@
       return timer(kWatchTimer, from_seconds((0.5 + uniform()) * wait));
     }
     if (d.kind != ListKind::kLastHeld) watch_failures_ = 0;
-    if (d.kind != ListKind::kChanges)
+    const bool whole = d.kind != ListKind::kChanges;
+    if (whole) {
       for (auto& s : servers_) s.listed = false;  // absent from a whole list: gone
+      choices_ = servers_.size() + d.entries.size();
+    }
     for (const auto& e : d.entries) {
       while (servers_.size() <= e.server) {  // instances must not start, nor probe, in the same order
         servers_.emplace_back().turn = uniform();
         servers_.back().order = uniform();
         servers_.back().tallies.resize(s_.classes.size());
+        servers_.back().gone = servers_.size() <= e.server;  // not in any list yet
       }
       Server& s = servers_[e.server];
       const bool reborn = e.born && (!s.entry.born || *e.born != *s.entry.born);
@@ -565,8 +588,17 @@
       s.entry = e;
       if (kinds_.size() <= e.kind) kinds_.resize(e.kind + 1);
       s.listed = e.state != ServerState::kRemoved;
+      s.gone = s.gone || !s.listed;
+      if (whole) continue;
+      up(s) ? ranked_.insert(s.order, e.server) : ranked_.erase(s.order, e.server);
     }
-    for (auto& s : servers_) s.gone = s.gone || !s.listed;
+    if (!whole) return;
+    std::vector<std::pair<double, ServerId>> all;
+    for (ServerId id = 0; id < servers_.size(); ++id) {
+      servers_[id].gone = servers_[id].gone || !servers_[id].listed;
+      if (up(servers_[id])) all.emplace_back(servers_[id].order, id);
+    }
+    ranked_.assign(std::move(all));
   }
 
   void restarted(Server& s) {  // what was known of its former life is void
@@ -601,8 +633,15 @@
     const auto rank = [&](auto& s) {
       return std::tuple(kinds_[s.entry.kind].utils > kPrior, s.probed_at, s.order);
     };
-    for (auto& s : servers_)
+    const auto consider = [&](Server& s) {
       if (up(s) && (!oldest || rank(s) < rank(*oldest))) oldest = &s;
+    };
+    if (few()) {
+      for (auto& s : servers_) consider(s);
+    } else {
+      for (int i = 0; i < kSample && ranked_.size() > 0; ++i)
+        consider(servers_[any_of(static_cast<double>(ranked_.size()))]);
+    }
     if (oldest && probe_credit_ >= 1) {
       probe_credit_ -= 1;
       oldest->probed_at = now_;
@@ -617,6 +656,7 @@
   std::vector<Action>* out_ = nullptr;
   std::vector<Level> levels_;
   std::vector<Server> servers_;
+  RankedSet ranked_;  // those that are up, by their order
   std::vector<Evidence> kinds_;                // by kind, summed
   std::vector<Tally> tallies_;                 // by class, summed
   std::unordered_map<RequestId, Call> calls_;  // looked up only, never walked
@@ -624,7 +664,7 @@
   double virtual_ = 0, limit_ = kOpen;         // C
   double mean_running_ = 0, overrun_ = 0;      // the latter in widths over C times seconds
   int running_ = 0, present_ = 0, busy_queues_ = 0, warm_servers_ = 1, up_servers_ = 1, watch_failures_ = 0;
-  std::size_t held_ = 0;
+  std::size_t held_ = 0, choices_ = 0;
   Time next_drop_ = Time::max(), sweep_at_{0}, sent_at_{0};
   std::vector<double> latency_, slow_latency_;  // by class, seconds
   std::vector<Bucket> reserves_;                // by tenant
--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -12,6 +12,13 @@
   o.log.time = l.flag("time", false);
   o.log.queue = static_cast<std::size_t>(l.integer("queue", static_cast<std::int64_t>(o.log.queue), 16, 65'536));
   l.finish();
+  TomlReader s = r.table("routing");
+  o.subset.nodes = static_cast<std::uint32_t>(s.integer("subset_nodes", 0, 0, 100'000));
+  o.subset.coverage = static_cast<std::uint32_t>(s.integer("coverage", o.subset.coverage, 1, 10'000));
+  o.subset.proxies = static_cast<std::uint32_t>(s.integer("proxies", 0, 0, 100'000));
+  if (s.has("place")) o.subset.place = static_cast<std::uint32_t>(s.integer("place", 0, 0, 100'000));
+  if (o.subset.place && *o.subset.place >= o.subset.proxies) s.fault("place", "not under proxies");
+  s.finish();
   r.finish();
   return o;
 }
--- a/src/config/operator_file.h
+++ b/src/config/operator_file.h
@@ -6,11 +6,13 @@
 
 #include "config/toml_reader.h"
 #include "log/log.h"
+#include "routing/subset.h"
 
 namespace beechhill::config {
 
 struct OperatorSettings {
   log::Settings log;
+  routing::SubsetSettings subset;
 };
 
 // Throws TomlFault naming file, line and key; an unknown key is one.
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -202,6 +202,12 @@
   s.clients.connections = static_cast<std::uint32_t>(c.integer("connections", 200, 1, 10'000'000));
   c.finish();
 
+  TomlReader routing = r.table("routing");
+  s.subset.nodes = static_cast<std::uint32_t>(routing.integer("subset_nodes", 0, 0, kMostNodes));
+  s.subset.coverage = static_cast<std::uint32_t>(routing.integer("coverage", s.subset.coverage, 1, kMostProxies));
+  s.subset_told = routing.flag("told", true);
+  routing.finish();
+
   for (TomlReader& f : r.tables("fault")) s.faults.push_back(fault_from(f, s));
   if (s.faults.size() > 1000) r.fault("fault", "more than 1000");
   check_sums(r, s);
--- a/src/emulator/scenario.h
+++ b/src/emulator/scenario.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "config/toml_reader.h"
+#include "routing/subset.h"
 
 namespace beechhill::emulator {
 
@@ -110,6 +111,8 @@
   std::vector<TenantSpec> tenants;
   std::vector<TierSpec> tiers;
   std::vector<FaultSpec> faults;
+  routing::SubsetSettings subset;  // of the first tier's proxies; `proxies` and `place` from the scenario if told
+  bool subset_told = true;         // proxies know how many they are, and their place
 };
 
 // Throws config::TomlFault naming file, line and key.
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -79,6 +79,11 @@
   p.alive = true;
   ++p.life;
   const auto replicas = static_cast<std::uint32_t>(p.tier == 0 ? s_.proxies : s_.tiers[p.tier - 1].nodes);
+  if (s_.subset.nodes > 0 && p.tier == 0) {
+    routing::SubsetSettings subset = s_.subset;
+    if (s_.subset_told) subset.proxies = s_.proxies, subset.place = p.index;
+    p.subset.emplace(subset, routing::unit_for(settings_for(s_, 0, 0, 1, 0).classes), "proxy-" + std::to_string(index));
+  }
   std::vector<Action> actions;
   p.policy = make_policy_(now_, settings_for(s_, p.tier, p.zone, replicas, p.random.bits()), *this, actions);
   perform(index, actions);
@@ -86,7 +91,7 @@
     Discovery last{ListKind::kLastHeld, {}};
     for (const Held& h : p.list)
       if (h.known) last.entries.push_back(h.entry);
-    drive(index, last);
+    drive_list(index, last);
     queue_.add(now_ + kListAgain, Kind::kTold, index, p.life, kWholeList);
   } else {
     told(index, kWholeList);
@@ -568,7 +573,7 @@
   Proxy& p = proxies_[index];
   if (message != kWholeList) {
     for (const ServerEntry& e : messages_[message].entries) hold(p, e);
-    drive(index, messages_[message]);
+    drive_list(index, messages_[message]);
     return;
   }
   Discovery whole{ListKind::kFull, {}};
@@ -578,7 +583,16 @@
     if (h.known && h.entry.state == ServerState::kUp && nodes_[p.tier][h.entry.server].entry.state == ServerState::kRemoved)
       h.entry.state = ServerState::kRemoved, h.told = now_;
   for (const ServerEntry& e : whole.entries) hold(p, e);
-  drive(index, whole);
+  drive_list(index, whole);
+}
+
+// What the proxy's part of the fleet is, its policy hears of; the rules hold for what the list has said.
+void World::drive_list(std::uint32_t proxy, const Discovery& list) {
+  Proxy& p = proxies_[proxy];
+  if (!p.subset) return drive(proxy, list);
+  std::vector<std::uint64_t> hashes;
+  for (const ServerEntry& e : list.entries) hashes.push_back(e.server + 1);
+  drive(proxy, p.subset->apply(list, hashes));
 }
 
 std::vector<ServerId> World::victims(const FaultSpec& f, std::size_t fault) const {
--- a/src/emulator/world.h
+++ b/src/emulator/world.h
@@ -113,6 +113,7 @@
     std::uint64_t life = 0;
     Time died{0}, last_told{0};
     std::unique_ptr<Policy> policy;
+    std::optional<routing::SubsetView> subset;
     Stream random{0, Actor::kProxy, 0};
     std::vector<Held> list;
     std::unordered_map<ServerId, Connections> connections;  // looked up only
@@ -175,6 +176,7 @@
   void tell(std::uint32_t tier, const ServerEntry& entry, Duration more = Duration{0});
   void told(std::uint32_t proxy, std::uint64_t message);
   void hold(Proxy& p, const ServerEntry& e);
+  void drive_list(std::uint32_t proxy, const Discovery& list);
   std::vector<ServerId> victims(const FaultSpec& f, std::size_t fault) const;
   void begin_fault(std::size_t fault);
   void end_fault(std::size_t fault);
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -169,4 +169,55 @@
   co_return result;
 }
 
+// ---- Closed loop
+
+ClosedLoad::ClosedLoad(runtime::Scheduler& scheduler, const emulator::Scenario& scenario, sockaddr_in proxy,
+                       std::size_t clients)
+    : scheduler_(scheduler), s_(scenario), proxy_(proxy), clients_(clients) {}
+
+Task<> ClosedLoad::run(TimePoint until) {
+  for (std::size_t i = 0; i < clients_; ++i) ++running_, scheduler_.spawn(client(i, until));
+  while (running_ > 0) {
+    Wait wait(scheduler_);
+    wait.notified(ended_);
+    co_await wait;
+  }
+}
+
+Task<> ClosedLoad::client(std::size_t number, TimePoint until) {
+  const auto work = std::llround(s_.classes[0].work_s * 1e6);
+  const std::string target = fmt::format("/{}/x?work_us={}", s_.classes[0].name, work);
+  std::unique_ptr<net::Stream> stream;
+  std::string buffer;
+  for (std::uint64_t turn = 0; runtime::Clock::now() < until; ++turn) {
+    const TimePoint deadline = runtime::Clock::now() + s_.classes[0].settings.deadline;
+    if (!stream) {
+      std::unique_ptr<net::Stream> made = co_await net::Stream::connect(scheduler_, proxy_, deadline);
+      stream = std::move(made);
+      buffer.clear();
+    }
+    bool good = false;
+    if (stream) {
+      const std::string id = fmt::format("X-Trace-Id: {:x}-{:x}\r\n", number, turn);
+      const std::string request = http::write_request("GET", target, "proxy", id, "");
+      Io io = co_await stream->write(request, deadline);
+      http::Parser parser(http::Parser::Kind::kResponse);
+      http::Progress progress = http::Progress::kMore;
+      while (io == Io::kOk && progress == http::Progress::kMore) {
+        io = co_await stream->read(buffer, deadline);
+        if (io == Io::kOk) progress = parser.feed(buffer);
+      }
+      const bool whole = progress == http::Progress::kDone;
+      good = whole && parser.message().status == 200;
+      if (!whole || !parser.message().keep_alive()) stream.reset();
+    }
+    ++(good ? served_ : other_);
+    if (good) continue;
+    Wait pause(scheduler_);  // a proxy that refuses is not asked in a tight loop
+    pause.until(runtime::Clock::now() + std::chrono::milliseconds(10));
+    co_await pause;
+  }
+  if (--running_ == 0) ended_.notify();
+}
+
 }  // namespace beechhill::lab
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -54,4 +54,24 @@
   runtime::Notifier ended_;
 };
 
+// A closed loop: so many clients, each with a connection of its own, each asking again when it is answered. For cost,
+// not for latency: a slow proxy slows its load.
+class ClosedLoad {
+ public:
+  ClosedLoad(runtime::Scheduler& scheduler, const emulator::Scenario& scenario, sockaddr_in proxy, std::size_t clients);
+  runtime::Task<> run(runtime::TimePoint until);
+  std::uint64_t served() const { return served_; }
+  std::uint64_t other() const { return other_; }  // refused, failed or broken
+
+ private:
+  runtime::Task<> client(std::size_t number, runtime::TimePoint until);
+
+  runtime::Scheduler& scheduler_;
+  const emulator::Scenario& s_;
+  sockaddr_in proxy_;
+  std::size_t clients_, running_ = 0;
+  std::uint64_t served_ = 0, other_ = 0;
+  runtime::Notifier ended_;
+};
+
 }  // namespace beechhill::lab
--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <thread>
 
 #include "experiments/plot.h"
@@ -129,6 +130,24 @@
     return pid_ <= 0;
   }
   double cpu_s() const { return cpu_s_; }
+  // Of the one that runs, from /proc.
+  double cpu_now_s() const {
+    std::ifstream in(fmt::format("/proc/{}/stat", pid_));
+    std::string text;
+    std::getline(in, text);
+    std::istringstream fields(text.substr(text.rfind(')') + 2));  // a name may hold anything
+    std::string skipped;
+    double user = 0, system = 0;
+    for (int i = 0; i < 11; ++i) fields >> skipped;
+    fields >> user >> system;
+    return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+  }
+  long rss_kib() const {
+    std::ifstream in(fmt::format("/proc/{}/statm", pid_));
+    long all = 0, resident = 0;
+    in >> all >> resident;
+    return resident * ::sysconf(_SC_PAGESIZE) / 1024;
+  }
   const sockaddr_in& address() const { return address_; }
   std::string last_words() const {
     std::ifstream in(log_);
@@ -259,6 +278,53 @@
   std::function<void(const std::string&)> progress_;
 };
 
+// What one request costs the proxy's core, by the number of clients that are busy at once.
+class CostRun {
+ public:
+  CostRun(const emulator::Scenario& scenario, const std::string& program)
+      : s_(scenario), fleet_(scheduler_, clock_, s_) {
+    const sockaddr_in address = free_address(scheduler_);
+    Json::Value config = proxy_config(s_, "proxy-0", net::to_string(address), fleet_, s_.seed * 1000);
+    config["limits"]["sockets"] = 16'384;
+    proxy_ = std::make_unique<ProxyProcess>(folder_, program, std::move(config), address);
+  }
+  void measure(const std::vector<std::size_t>& clients, double seconds) {
+    scheduler_.spawn(then_stop(scheduler_, all(clients, seconds)));
+    scheduler_.run();
+    proxy_->end();
+  }
+
+ private:
+  Task<> all(std::vector<std::size_t> clients, double seconds) {
+    proxy_->start();
+    const auto patience = Clock::now() + 15s;
+    for (bool up = false; !up;) {
+      up = co_await ready(scheduler_, proxy_->address());
+      if (!up && Clock::now() > patience) throw std::runtime_error("a proxy is not ready after 15 s");
+    }
+    const auto span = std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
+    for (const std::size_t n : clients) {
+      ClosedLoad load(scheduler_, s_, proxy_->address(), n);
+      const double before = proxy_->cpu_now_s();
+      const auto begun = Clock::now();
+      co_await load.run(begun + span);
+      const double took = std::chrono::duration<double>(Clock::now() - begun).count();
+      const double cpu = proxy_->cpu_now_s() - before;
+      const auto done = static_cast<double>(std::max<std::uint64_t>(1, load.served()));
+      fmt::print("{:>7} nodes {:>7} clients {:>9.0f} served/s {:>8.1f} us CPU/request {:>7} not served {:>6} KiB RSS\n",
+                 s_.tiers[0].nodes, n, done / took, 1e6 * cpu / done, load.other(), proxy_->rss_kib());
+      std::fflush(stdout);
+    }
+  }
+
+  const emulator::Scenario& s_;
+  experiments::TempFolder folder_;
+  runtime::Scheduler scheduler_;
+  LabClock clock_;
+  Fleet fleet_;
+  std::unique_ptr<ProxyProcess> proxy_;
+};
+
 Json::Value as_row(const SocketRun& run, const emulator::Scenario& s, const char* policy) {
   Json::Value row;
   row["cell"]["policy"] = policy;
@@ -340,6 +406,20 @@
   return 0;
 }
 
+void cost(std::uint32_t nodes, const std::vector<std::size_t>& clients, double seconds, const std::string& program) {
+  const std::string text = "length = \"10s\"\n[load]\nrate = 1.0\n[[class]]\nname = \"read\"\nwork = \"1us\"\nspread = \"fixed\"\naim = \"5s\"\n"
+                           "deadline = \"10s\"\n[[tier]]\nname = \"front\"\ncores = 4\nroom = 100000\nconnection = { work = \"0us\" }\nnodes = " +
+                           std::to_string(nodes) + "\n";
+  rlimit files{};
+  ::getrlimit(RLIMIT_NOFILE, &files);
+  files.rlim_cur = files.rlim_max;
+  ::setrlimit(RLIMIT_NOFILE, &files);
+  ::signal(SIGPIPE, SIG_IGN);
+  const emulator::Scenario s = emulator::read_scenario(config::parse_toml(text, "cost"), "cost");
+  CostRun run(s, program);
+  run.measure(clients, seconds);
+}
+
 Task<> until_told(runtime::Scheduler& scheduler, net::Fd signals, Clock::time_point at) {
   runtime::IoSource io(scheduler, signals.get());
   Wait wait(scheduler);
@@ -386,7 +466,9 @@
 void add_socket_commands(CLI::App& app, int& code) {
   struct Options {
     std::string file, program = program_beside_us(), json, html, config, listen = "127.0.0.1:18080";
-    double seconds = 86'400;
+    double seconds = 86'400, seconds_each = 5;
+    std::uint32_t nodes = 15;
+    std::vector<std::size_t> clients{64, 400, 2000};
   };
   const auto o = std::make_shared<Options>();
   CLI::App* c = app.add_subcommand("nodes", "Play stand-in nodes and their discovery on loopback until told to end");
@@ -403,6 +485,13 @@
   c->add_option("--html", o->html, "Draw the result into this page");
   c->callback([o, &code] { code = sockets(o->file, o->program, o->json, o->html); });
 
+  c = app.add_subcommand("cost", "What a request costs the proxy, by the number of busy clients; stand-in nodes that do no work");
+  c->add_option("--nodes", o->nodes, "Stand-in nodes")->check(CLI::Range(1u, 4000u))->capture_default_str();
+  c->add_option("--clients", o->clients, "Busy clients, one measurement each")->check(CLI::Range(1u, 10'000u))->capture_default_str();
+  c->add_option("--seconds", o->seconds_each, "For each")->check(CLI::Range(0.5, 600.0))->capture_default_str();
+  c->add_option("--proxy", o->program, "The proxy program")->capture_default_str();
+  c->callback([o] { cost(o->nodes, o->clients, o->seconds_each, o->program); });
+
   c = app.add_subcommand("demo", "A first run: nodes, discovery, the real proxy and a load; two nodes go silent and come back");
   c->add_option("--proxy", o->program, "The proxy program")->capture_default_str();
   c->add_option("--html", o->html, "Where the report goes; demo.html if absent");
--- a/src/lab/sockets.h
+++ b/src/lab/sockets.h
@@ -11,7 +11,7 @@
 
 namespace beechhill::lab {
 
-// `nodes`, `sockets` and `demo`; `code` becomes the exit code.
+// `nodes`, `sockets`, `cost` and `demo`; `code` becomes the exit code.
 void add_socket_commands(CLI::App& app, int& code);
 
 struct SocketRun {
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -50,6 +50,8 @@
   runtime::Task<Io> write(std::string_view bytes, runtime::TimePoint deadline);
   // Reads without waiting: true when the peer has ended, or sent what nobody asked for.
   bool stale();
+  // While nobody reads: `watcher` is told when stale() may have become true. Null ends it.
+  void watch(runtime::IoWatcher* watcher) { io_.watch(watcher); }
   // Tells the peer that no more comes, then reads until it ends too, or the notifier calls: a reset must not
   // destroy an answer.
   runtime::Task<> linger(runtime::TimePoint deadline, runtime::Notifier& notifier);
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -14,7 +14,7 @@
 }  // namespace
 
 DecisionActor::DecisionActor(runtime::Scheduler& scheduler, const config::Config& config,
-                             PeerFactory make_peer, WatchBox& watch)
+                             PeerFactory make_peer, WatchBox& watch, const routing::SubsetSettings& subset)
     : scheduler_(scheduler),
       make_peer_(std::move(make_peer)),
       watch_(watch),
@@ -23,6 +23,8 @@
       unix_offset_(std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch()) -
                    now()),
       balancer_(now(), config.named.settings, actions_) {
+  if (subset.nodes > 0)
+    subset_.emplace(subset, routing::unit_for(config.named.settings.classes), config.name);
   zones_.id(config.named.zone);  // the settings' own zone is number 0
   perform();
   take_list(config.known, ListKind::kLastHeld);
@@ -172,6 +174,7 @@
   Discovery discovery{kind, {}};
   const Time told = now();
   std::vector<bool> named(backends_.size(), false);
+  std::vector<std::uint64_t> hashes;
   for (const config::PoolEntry& row : pool.entries) {
     if (row.state == ServerState::kRemoved && !servers_.known(row.host)) continue;  // let go already
     ServerEntry e;
@@ -187,12 +190,30 @@
     named[e.server] = true;
     tell(e.server, PeerStatus{row.state, told, row.address});
     discovery.entries.push_back(e);
+    if (subset_) hashes.push_back(routing::hash_of_name(row.host));
   }
   if (kind != ListKind::kChanges)
     for (ServerId id = 0; id < named.size(); ++id)
       if (!named[id] && backends_[id].peer) tell(id, PeerStatus{ServerState::kRemoved, told, {}});
-  drive(discovery);
-  for (ServerId id = 0; id < backends_.size(); ++id) let_go(id);
+  std::vector<ServerId> mentioned;
+  for (const ServerEntry& e : discovery.entries) mentioned.push_back(e.server);
+  drive(part_of(std::move(discovery), hashes));
+  if (kind == ListKind::kChanges) {
+    for (const ServerId id : mentioned) let_go(id);
+  } else {
+    for (ServerId id = 0; id < backends_.size(); ++id) let_go(id);
+  }
+}
+
+// What the module is told of a list: all of it, or this proxy's part of the fleet.
+Discovery DecisionActor::part_of(Discovery list, const std::vector<std::uint64_t>& hashes) {
+  if (!subset_) return list;
+  const std::size_t before = subset_->used();
+  Discovery part = subset_->apply(list, hashes);
+  if (subset_->used() != before)
+    log::event(log::Level::kDebug, "subset", {{"used", static_cast<std::uint64_t>(subset_->used())},
+                                              {"fleet", static_cast<std::uint64_t>(subset_->fleet())}});
+  return part;
 }
 
 void DecisionActor::tell(ServerId server, PeerStatus status) {
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -9,6 +9,7 @@
 
 #include "config/interner.h"
 #include "proxy/operation.h"
+#include "routing/subset.h"
 
 namespace beechhill::proxy {
 
@@ -16,9 +17,9 @@
  public:
   using PeerFactory = std::function<std::unique_ptr<Peer>(DecisionBox&, ServerId, const sockaddr_in&)>;
 
-  // `watch` is where the module's orders to watch discovery go.
-  DecisionActor(runtime::Scheduler& scheduler, const config::Config& config, PeerFactory make_peer,
-                WatchBox& watch);
+  // `watch` is where the module's orders to watch discovery go. With `subset.nodes` 0 the module hears of every node.
+  DecisionActor(runtime::Scheduler& scheduler, const config::Config& config, PeerFactory make_peer, WatchBox& watch,
+                const routing::SubsetSettings& subset = {});
 
   DecisionBox& inbox() { return inbox_; }
   bool has_list() const { return has_list_; }
@@ -51,6 +52,7 @@
   void on(config::PoolConfig& pool);
   void take_list(const config::PoolConfig& pool, ListKind kind);
   void tell(ServerId server, PeerStatus status);
+  Discovery part_of(Discovery list, const std::vector<std::uint64_t>& hashes);
   void let_go(ServerId server);
 
   void act(const Send& a);
@@ -65,6 +67,7 @@
   runtime::Scheduler& scheduler_;
   PeerFactory make_peer_;
   WatchBox& watch_;
+  std::optional<routing::SubsetView> subset_;
   DecisionBox inbox_;
   std::uint32_t most_tries_;
   Time unix_offset_;  // Unix time less the module's clock
--- a/src/proxy/peer_actor.cpp
+++ b/src/proxy/peer_actor.cpp
@@ -18,7 +18,6 @@
 constexpr std::size_t kInboxCapacity = 2048;
 constexpr std::size_t kStepsQueued = 1024;  // the rest of the inbox is for cancels and news of the backend
 constexpr int kIdleShare = 2;               // of idle-close, a connection is kept idle for one part
-constexpr auto kSweepEvery = 1s;
 constexpr auto kSettling = 5ms;  // after an answer
 constexpr Duration kProbeLimit = 500ms;
 constexpr Duration kAnswerPause = 250ms;  // within an answer that has begun: longer, and its length was wrong
@@ -69,7 +68,7 @@
 PeerActor::~PeerActor() {
   scheduler_.cancel(actor_);
   for (const auto& [key, task] : steps_) scheduler_.cancel(task);
-  while (!idle_.empty()) drop_idle(idle_.size() - 1, EndReason::kPeerDrained);
+  drop_all_idle();
   std::erase(pool_.peers, this);
 }
 
@@ -87,7 +86,7 @@
     sweep();
     runtime::Wait wait(scheduler_);
     wait.notified(inbox_.arrived());
-    if (!idle_.empty()) wait.until(Clock::now() + kSweepEvery);
+    if (!idle_.empty()) wait.until(oldest_ends());
     co_await wait;
   }
 }
@@ -115,8 +114,7 @@
   const bool moved = status.address.sin_addr.s_addr != status_.address.sin_addr.s_addr ||
                      status.address.sin_port != status_.address.sin_port;
   status_ = status;
-  if (status.state != ServerState::kUp || moved)
-    while (!idle_.empty()) drop_idle(idle_.size() - 1, EndReason::kPeerDrained);
+  if (status.state != ServerState::kUp || moved) drop_all_idle();
 }
 
 bool PeerActor::may_send() const {
@@ -128,32 +126,73 @@
 
 std::unique_ptr<PeerActor::Connection> PeerActor::take_idle() {
   sweep();
-  if (idle_.empty()) return nullptr;
-  // The last used, but for those whose answer came just now: what does not belong to it may be under way.
+  // The last used, but for those whose answer came just now: what does not belong to it may be under way. Ordered by
+  // time, so only those of the last few milliseconds are passed over.
   const TimePoint settled = Clock::now() - kSettling;
-  auto it =
-      std::find_if(idle_.rbegin(), idle_.rend(), [&](const auto& c) { return c->idle_since <= settled; });
-  if (it == idle_.rend()) it = idle_.rbegin();
-  auto connection = std::move(*it);
-  idle_.erase(std::next(it).base());
+  while (!idle_.empty()) {
+    auto it = std::prev(idle_.end());
+    while (it != idle_.begin() && (*it)->idle_since > settled) --it;
+    if ((*it)->idle_since > settled) it = std::prev(idle_.end());
+    // Guards against a request on a connection that the backend has closed, or is about to: that is a reset. The
+    // poll may not have told of it yet.
+    if (!(*it)->stream->stale()) return leave_idle(it);
+    drop_idle(it, EndReason::kPeerClosed);
+  }
+  return nullptr;
+}
+
+void PeerActor::Connection::stirred() {
+  if (stirred_at) return;
+  stirred_at = owner.stirred_.size();
+  owner.stirred_.push_back(this);
+  owner.inbox_.arrived().notify();
+}
+
+void PeerActor::keep_idle(std::unique_ptr<Connection> connection) {
+  Connection& c = *connection;
+  c.idle_since = Clock::now();
+  c.stream->watch(&c);
+  // The end may have come with the answer: epoll tells of it no more.
+  if (c.stream->stale()) {
+    c.reason = EndReason::kPeerClosed;
+    return;
+  }
+  c.place = idle_.insert(idle_.end(), std::move(connection));
+  if (idle_.size() == 1) inbox_.arrived().notify();  // there is one whose time will be over
+}
+
+std::unique_ptr<PeerActor::Connection> PeerActor::leave_idle(IdleList::iterator place) {
+  std::unique_ptr<Connection> connection = std::move(*place);
+  idle_.erase(place);
+  connection->stream->watch(nullptr);
+  if (connection->stirred_at) forget_stirred(*connection);
   return connection;
 }
 
-void PeerActor::drop_idle(std::size_t index, EndReason reason) {
-  idle_[index]->reason = reason;
-  idle_.erase(idle_.begin() + static_cast<std::ptrdiff_t>(index));
+void PeerActor::forget_stirred(Connection& connection) {
+  stirred_[*connection.stirred_at] = stirred_.back();
+  stirred_[*connection.stirred_at]->stirred_at = connection.stirred_at;
+  stirred_.pop_back();
+  connection.stirred_at.reset();
+}
+
+void PeerActor::drop_idle(IdleList::iterator place, EndReason reason) { leave_idle(place)->reason = reason; }
+
+void PeerActor::drop_all_idle() {
+  while (!idle_.empty()) drop_idle(std::prev(idle_.end()), EndReason::kPeerDrained);
 }
 
-// Guards against a request on a connection that the backend has closed, or is about to: that is a reset.
+TimePoint PeerActor::oldest_ends() const { return idle_.front()->idle_since + settings_.idle_close / kIdleShare; }
+
+// Looks at those that epoll has told of and at the oldest, and at no others.
 void PeerActor::sweep() {
-  const TimePoint oldest = Clock::now() - settings_.idle_close / kIdleShare;
-  for (std::size_t i = idle_.size(); i-- > 0;) {
-    if (idle_[i]->stream->stale()) {
-      drop_idle(i, EndReason::kPeerClosed);
-    } else if (idle_[i]->idle_since < oldest) {
-      drop_idle(i, EndReason::kIdle);
-    }
+  while (!stirred_.empty()) {
+    Connection& c = *stirred_.back();
+    forget_stirred(c);
+    if (c.stream->stale()) drop_idle(c.place, EndReason::kPeerClosed);
   }
+  const TimePoint now = Clock::now();
+  while (!idle_.empty() && oldest_ends() <= now) drop_idle(idle_.begin(), EndReason::kIdle);
 }
 
 // Frees another backend's longest idle connection where descriptors are short.
@@ -161,9 +200,9 @@
   if (pool_.budget.room()) return true;
   PeerActor* owner = nullptr;
   for (PeerActor* peer : pool_.peers)
-    if (!peer->idle_.empty() && (!owner || peer->idle_[0]->idle_since < owner->idle_[0]->idle_since))
+    if (!peer->idle_.empty() && (!owner || peer->idle_.front()->idle_since < owner->idle_.front()->idle_since))
       owner = peer;
-  if (owner) owner->drop_idle(0, EndReason::kEvicted);
+  if (owner) owner->drop_idle(owner->idle_.begin(), EndReason::kEvicted);
   return owner != nullptr;
 }
 
@@ -208,7 +247,7 @@
   std::unique_ptr<Connection> connection = take_idle();
   if (!connection) {
     if (!make_room()) co_return got;
-    connection = std::make_unique<Connection>(pool_.budget, status_.address);
+    connection = std::make_unique<Connection>(*this, status_.address);
     const TimePoint until = to_point(std::min(connect_by, now() + settings_.connect_timeout));
     connection->stream = co_await net::Stream::connect(scheduler_, status_.address, until);
     if (!connection->stream) {
@@ -230,11 +269,7 @@
   }
   bool reusable = false;
   got = co_await receive(*connection, payload.id(), deadline, reusable);
-  if (reusable && status_.state == ServerState::kUp) {
-    connection->idle_since = Clock::now();
-    idle_.push_back(std::move(connection));
-    if (idle_.size() == 1) inbox_.arrived().notify();  // the sweep has something to watch
-  }
+  if (reusable && status_.state == ServerState::kUp) keep_idle(std::move(connection));
   co_return got;
 }
 
--- a/src/proxy/peer_actor.h
+++ b/src/proxy/peer_actor.h
@@ -1,8 +1,10 @@
 // A backend over HTTP/1.1: its connections and the route steps on them.
 #pragma once
 
+#include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,9 +34,15 @@
 
  private:
   using StepKey = std::pair<RequestId, std::uint32_t>;
-  struct Connection {  // logs its end
-    Connection(FdBudget& budget, sockaddr_in to) : slot(budget), address(to) {}
+  struct Connection;
+  using IdleList = std::list<std::unique_ptr<Connection>>;
+  struct Connection final : runtime::IoWatcher {  // logs its end
+    Connection(PeerActor& peer, sockaddr_in to) : owner(peer), slot(peer.pool_.budget), address(to) {}
     ~Connection() { log_end("peer", net::to_string(address), reason, operations); }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+    void stirred() override;  // only while it is idle
+    PeerActor& owner;
     FdBudget::Slot slot;
     sockaddr_in address;
     std::unique_ptr<net::Stream> stream;
@@ -42,6 +50,8 @@
     std::uint64_t operations = 0;
     bool names_requests = false;  // its last answer began with its request's id
     runtime::TimePoint idle_since{};
+    IdleList::iterator place;  // while it is idle
+    std::optional<std::size_t> stirred_at;  // and has stirred: where it stands in the owner's list of such
   };
   struct Exchanged {
     Result result = Result::kConnectFailed;
@@ -63,9 +73,14 @@
   void on(PeerStatus& status);
   bool may_send() const;
   std::unique_ptr<Connection> take_idle();
-  void drop_idle(std::size_t index, EndReason reason);
+  void keep_idle(std::unique_ptr<Connection> connection);
+  std::unique_ptr<Connection> leave_idle(IdleList::iterator place);
+  void drop_idle(IdleList::iterator place, EndReason reason);
+  void drop_all_idle();
+  void forget_stirred(Connection& connection);
   bool make_room();
   void sweep();
+  runtime::TimePoint oldest_ends() const;
 
   runtime::Scheduler& scheduler_;
   DecisionBox& decisions_;
@@ -74,7 +89,8 @@
   ServerId server_;
   PeerStatus status_;
   runtime::Mailbox<PeerMessage> inbox_;
-  std::vector<std::unique_ptr<Connection>> idle_;  // the most recently used last
+  IdleList idle_;                     // the most recently used last
+  std::vector<Connection*> stirred_;  // idle ones that the backend has closed or written to
   std::map<StepKey, runtime::TaskId> steps_;
   runtime::TaskId actor_;
 };
--- a/src/proxy/serve.cpp
+++ b/src/proxy/serve.cpp
@@ -76,7 +76,8 @@
 void serve(const std::string& operator_file) {
   net::Fd signals = block_signals();  // first: one that comes while starting waits its turn
   const config::Config config = config::load_config();
-  log::start(config::load_operator(operator_file).log);
+  const config::OperatorSettings settings = config::load_operator(operator_file);
+  log::start(settings.log);
 
   runtime::Scheduler scheduler;
   const std::size_t usable = config.sockets - kOtherDescriptors;
@@ -86,7 +87,7 @@
     return std::make_unique<PeerActor>(scheduler, inbox, pool, config.named.settings, server, address);
   };
   PoolConfigActor pool_config(scheduler, config);
-  DecisionActor decisions(scheduler, config, make_peer, pool_config.inbox());
+  DecisionActor decisions(scheduler, config, make_peer, pool_config.inbox(), settings.subset);
   FrontDoor door(scheduler, decisions.inbox(), config, front, [&] { return decisions.has_list(); });
   scheduler.spawn(decisions.run());
   scheduler.spawn(pool_config.run(decisions.inbox()));
--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -149,8 +149,13 @@
   for (int i = 0; i < n; ++i) {
     auto& io = *static_cast<IoSource*>(events[i].data.ptr);
     const auto bits = events[i].events;
-    if (io.reader_ && (bits & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)))
-      io.reader_->fire(Wake::kReadable);
+    if (bits & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
+      if (io.reader_) {
+        io.reader_->fire(Wake::kReadable);
+      } else if (io.watcher_) {
+        io.watcher_->stirred();
+      }
+    }
     if (io.writer_ && (bits & (EPOLLOUT | EPOLLHUP | EPOLLERR))) io.writer_->fire(Wake::kWritable);
   }
   const TimePoint now = Clock::now();
--- a/src/runtime/scheduler.h
+++ b/src/runtime/scheduler.h
@@ -28,6 +28,16 @@
   std::optional<DueList::iterator> entry;
 };
 
+// Told of a descriptor that has something to read, or has ended, while nobody waits on it. It may note that and
+// notify, but neither resume nor destroy anything: others of the same round are still to come.
+class IoWatcher {
+ public:
+  virtual void stirred() = 0;
+
+ protected:
+  ~IoWatcher() = default;
+};
+
 // A descriptor known to epoll (edge-triggered): whoever waits on it must have met EAGAIN first.
 class IoSource {
  public:
@@ -35,6 +45,8 @@
   ~IoSource();
   IoSource(const IoSource&) = delete;
   IoSource& operator=(const IoSource&) = delete;
+  // Null: nobody is told. What came before is not told any more: look first, then watch.
+  void watch(IoWatcher* watcher) { watcher_ = watcher; }
 
  private:
   friend class Scheduler;
@@ -43,6 +55,7 @@
   int fd_;
   Wait* reader_ = nullptr;
   Wait* writer_ = nullptr;
+  IoWatcher* watcher_ = nullptr;
 };
 
 // Wakes the one Wait that stands on it; kept until the next Wait where there is none.
