Measure recovery against the goodput before a fault, not during it

Cause: the goodput before was summed in run_scenario, and again, over the wrong seconds, in recovery_s, whose share was then taken of both: a run counted as back once it did no worse than in the fault itself.

Change: one goodput_between serves both; recovery_s takes the goal itself. A test holds it.

--- a/src/emulator/metrics.cpp
+++ b/src/emulator/metrics.cpp
@@ -107,20 +107,20 @@
   std::for_each(by_tenant.begin(), by_tenant.end(), rest);
 }
 
-double Metrics::recovery_s(Duration before, Duration from, Duration until, double share) const {
-  const auto mean = [this](std::size_t a, std::size_t b) {
-    double asked = 0, served = 0;
-    for (std::size_t i = a; i < std::min(b, seconds.size()); ++i)
-      asked += seconds[i].worth_asked, served += seconds[i].worth_served;
-    return asked > 0 ? served / asked : 1;
-  };
-  const auto first = static_cast<std::size_t>(std::ceil(whole_seconds(from)));
-  const auto last = static_cast<std::size_t>(whole_seconds(until));
-  const double usual = mean(static_cast<std::size_t>(whole_seconds(before)), first);
-  for (std::size_t i = first; i + 3 <= last; ++i)  // three seconds in a row: one lucky second is no recovery
-    if (mean(i, i + 1) >= share * usual && mean(i + 1, i + 2) >= share * usual &&
-        mean(i + 2, i + 3) >= share * usual)
-      return static_cast<double>(i - first);
+double Metrics::goodput_between(Duration from, Duration until) const {
+  double asked = 0, served = 0;
+  const auto last = std::min(seconds.size(), static_cast<std::size_t>(until / std::chrono::seconds(1)));
+  for (auto i = static_cast<std::size_t>(from / std::chrono::seconds(1)); i < last; ++i)
+    asked += seconds[i].worth_asked, served += seconds[i].worth_served;
+  return asked > 0 ? served / asked : 1;
+}
+
+double Metrics::recovery_s(Duration from, Duration until, double goal) const {
+  constexpr std::chrono::seconds kOne{1};
+  const auto good = [&](std::chrono::seconds at) { return goodput_between(at, at + kOne) >= goal; };
+  const auto first = std::chrono::ceil<std::chrono::seconds>(from);
+  for (auto at = first; at + 3 * kOne <= until; at += kOne)  // one lucky second is no recovery
+    if (good(at) && good(at + kOne) && good(at + 2 * kOne)) return static_cast<double>((at - first).count());
   return -1;
 }
 
--- a/src/emulator/metrics.h
+++ b/src/emulator/metrics.h
@@ -67,9 +67,11 @@
   std::vector<Json::Value> tiers;
 
   double goodput() const { return all.worth_asked > 0 ? all.worth_served / all.worth_asked : 1; }
-  // Seconds from `from` on until goodput stays within `share` of what it was in [before, from); negative
-  // where it never does.
-  double recovery_s(Duration before, Duration from, Duration until, double share) const;
+  // The worth served of what was asked for in the whole seconds from `from` to `until`; 1 where nothing was.
+  double goodput_between(Duration from, Duration until) const;
+  // Seconds from `from` on until goodput is `goal` or more for three seconds in a row; negative where it is not by
+  // `until`.
+  double recovery_s(Duration from, Duration until, double goal) const;
   Json::Value to_json(bool series) const;
 
  private:
--- a/src/experiments/experiment.cpp
+++ b/src/experiments/experiment.cpp
@@ -78,13 +78,9 @@
     to = std::max(to, f.at + f.length);
   }
   if (to > Duration{0} && to < scenario.length) {
-    const auto& m = world.metrics();
-    double asked = 0, served = 0;
-    const auto first = static_cast<std::size_t>(scenario.warm_up / std::chrono::seconds(1));
-    for (auto i = first; i < static_cast<std::size_t>(from / std::chrono::seconds(1)); ++i)
-      asked += m.seconds[i].worth_asked, served += m.seconds[i].worth_served;
-    out.result["goodput_before"] = asked > 0 ? served / asked : 1;
-    out.result["recovery_s"] = m.recovery_s(from, to, scenario.length, asked > 0 ? 0.95 * served / asked : 0.95);
+    const double before = world.metrics().goodput_between(scenario.warm_up, from);
+    out.result["goodput_before"] = before;
+    out.result["recovery_s"] = world.metrics().recovery_s(to, scenario.length, 0.95 * before);
   }
   const emulator::RuleChecker& rules = world.rules();
   for (const emulator::Rule rule : {emulator::Rule::kOneAnswer, emulator::Rule::kEffects, emulator::Rule::kDrains,
--- a/tests/emulator_test.cpp
+++ b/tests/emulator_test.cpp
@@ -229,6 +229,23 @@
   EXPECT_LE(module, 5);
 }
 
+// Back is what it was before the fault, not what it was during it.
+TEST(Metrics, RecoveryIsMeasuredAgainstTheTimeBeforeTheFault) {
+  const Scenario s = shipped("calm");
+  Metrics m(s);
+  for (const double served : {1.0, 1.0, 0.4, 0.4, 0.5, 0.97, 0.6, 0.99, 1.0, 1.0, 1.0}) {
+    Second w;
+    w.worth_asked = 100;
+    w.worth_served = 100 * served;
+    m.seconds.push_back(w);
+  }
+  using std::chrono::seconds;
+  EXPECT_DOUBLE_EQ(m.goodput_between(seconds(0), seconds(2)), 1);
+  EXPECT_DOUBLE_EQ(m.goodput_between(seconds(2), seconds(4)), 0.4);
+  EXPECT_EQ(m.recovery_s(seconds(4), seconds(11), 0.95), 3);  // the lucky second is passed over
+  EXPECT_EQ(m.recovery_s(seconds(4), seconds(9), 0.95), -1);  // not three in a row by then
+}
+
 TEST(Node, SaysLateWhatItSawAndSlowsDownWhenCrowded) {
   Scenario s = shipped("calm");
   TierSpec& t = s.tiers[0];
