Let the emulator and the stand-ins share what they had written twice

Change: one piece each (nodes_struck, part_of, longest_deadline, mean_work_s, units.h, pass_on, until_ready). Fields that nobody read are gone, van der Corput's sequence is a loop of one line, and the log asks the clock only where a line carries the time.

--- a/src/emulator/clients.cpp
+++ b/src/emulator/clients.cpp
@@ -4,13 +4,6 @@
 #include <cmath>
 
 namespace beechhill::emulator {
-namespace {
-
-double to_s(Duration d) { return std::chrono::duration<double>(d).count(); }
-Duration to_span(double s) { return Duration(std::llround(s * 1e6)); }
-
-}  // namespace
-
 Arrivals::Arrivals(const Scenario& scenario) : s_(scenario), random_(scenario.seed, Actor::kArrivals, 0) {
   mean_rate_ = rate_per_s(s_);
   double most = 1;
--- a/src/emulator/event_queue.h
+++ b/src/emulator/event_queue.h
@@ -48,7 +48,6 @@
   bool empty() const { return heap_.empty(); }
   const Happening& top() const { return heap_.top(); }
   void pop() { heap_.pop(); }
-  std::uint64_t added() const { return next_; }
 
  private:
   std::priority_queue<Happening, std::vector<Happening>, std::greater<>> heap_;
--- a/src/emulator/metrics.cpp
+++ b/src/emulator/metrics.cpp
@@ -10,7 +10,6 @@
 constexpr unsigned kBins = 1600;
 
 Json::Value number(std::uint64_t n) { return Json::Value(static_cast<Json::UInt64>(n)); }
-double whole_seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 
 }  // namespace
 
@@ -19,7 +18,7 @@
 
 void LatencyHistogram::add(Duration span) {
   ++count_;
-  bins_(std::clamp(whole_seconds(span), kLeast, kMost * 0.999));
+  bins_(std::clamp(to_s(span), kLeast, kMost * 0.999));
 }
 
 double LatencyHistogram::quantile(double q) const {
--- a/src/emulator/metrics.h
+++ b/src/emulator/metrics.h
@@ -18,7 +18,6 @@
   static constexpr double kLeast = 1e-5, kMost = 1e3, kRelativeError = 0.006;
   LatencyHistogram();
   void add(Duration span);
-  std::uint64_t count() const { return count_; }
   // Seconds; 0 where there is nothing. The middle of the bin, by ratio.
   double quantile(double q) const;
   // Upper edges and cumulative shares of the bins that hold something.
--- a/src/emulator/node.cpp
+++ b/src/emulator/node.cpp
@@ -9,9 +9,6 @@
 constexpr std::size_t kReportsKept = 64;  // a report can be that many refreshes late
 constexpr double kMostlyIdle = 0.5;       // of the cores, at the most busy while a choked node recovers
 
-double to_s(Duration d) { return std::chrono::duration<double>(d).count(); }
-Duration to_span(double s) { return Duration(std::llround(s * 1e6)); }
-
 }  // namespace
 
 Node::Node(const TierSpec& spec, std::uint64_t seed, std::uint64_t index, std::optional<Time> born, Time now)
--- a/src/emulator/policies.cpp
+++ b/src/emulator/policies.cpp
@@ -5,6 +5,7 @@
 
 #include "emulator/policy.h"
 #include "emulator/random.h"
+#include "emulator/units.h"
 
 namespace beechhill::emulator {
 namespace {
@@ -83,10 +84,10 @@
 
   bool cold(const Known& k) const { return k.entry.born && now_ < *k.entry.born + s_.cold_span; }
   bool credit_allows(Known& k) {  // whether a cold node's credit covers one more
-    const double age = std::chrono::duration<double>(now_ - *k.entry.born).count();
-    const double span = std::chrono::duration<double>(s_.cold_span).count();
+    const double age = to_s(now_ - *k.entry.born);
+    const double span = to_s(s_.cold_span);
     const double warmth = s_.cold_from + (1 - s_.cold_from) * std::max(0.0, age) / span;
-    const double dt = std::chrono::duration<double>(now_ - k.credited).count();
+    const double dt = to_s(now_ - k.credited);
     k.credit = std::min(1.0, k.credit + warmth * dt * rate_ / static_cast<double>(up_.size()));
     k.credited = now_;
     return k.credit >= 1;
@@ -131,7 +132,7 @@
   }
 
   void on(const Request& r) {
-    const double dt = std::chrono::duration<double>(now_ - rated_).count();
+    const double dt = to_s(now_ - rated_);
     rate_ = rate_ * std::exp(-dt / 5) + 1.0 / 5;
     rated_ = now_;
     Call& c = calls_[r.id];
@@ -259,7 +260,7 @@
     if (settings().tier > 0) return true;
     const ClassSettings& k = settings().classes[r.class_id];
     const double wait = truth_.wait_s(now(), 0, up()[choose()]);
-    return wait <= std::chrono::duration<double>(k.aim).count() * (0.25 + 0.5 * k.worth / most_worth_);
+    return wait <= to_s(k.aim) * (0.25 + 0.5 * k.worth / most_worth_);
   }
   bool spare(Known& k) override { return truth_.spares(now(), settings().tier, k.entry.server); }
   std::size_t choose() override {
--- a/src/emulator/rules.cpp
+++ b/src/emulator/rules.cpp
@@ -10,8 +10,6 @@
 constexpr double kChance = 8;             // mean jobs that a cold node's budget leaves room for chance
 constexpr double kAwareShare = 2.0 / 3;   // of the work, that proxies which knew of the start have sent
 
-double to_s(Duration d) { return std::chrono::duration<double>(d).count(); }
-
 const char* word(Result r) {
   static constexpr const char* kWords[] = {"ok",    "error",     "full", "timeout", "connect_failed",
                                            "reset", "cancelled", "moot"};
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <filesystem>
 
+#include "emulator/random.h"
+
 namespace beechhill::emulator {
 namespace {
 
@@ -270,20 +272,51 @@
   }
 }
 
-std::size_t nodes_struck(const FaultSpec& f, std::size_t candidates) {
-  if (f.nodes > 0) return std::min<std::size_t>(f.nodes, candidates);
-  if (f.part <= 0) return candidates;  // a zone or cell, whole
-  const auto count = static_cast<std::size_t>(std::llround(f.part * static_cast<double>(candidates)));
-  return std::min(candidates, std::max<std::size_t>(1, count));
+std::size_t part_of(double part, std::size_t count) {
+  const auto rounded = static_cast<std::size_t>(std::llround(part * static_cast<double>(count)));
+  return std::min(count, std::max<std::size_t>(1, rounded));
 }
 
-double capacity_per_s(const Scenario& s) {
+std::vector<ServerId> nodes_struck(const Scenario& s, std::size_t fault, const std::vector<ServerEntry>& nodes) {
+  const FaultSpec& f = s.faults[fault];
+  std::vector<ServerId> all, chosen;
+  for (const ServerEntry& n : nodes) {
+    if (f.zone >= 0 && n.zone != static_cast<std::uint32_t>(f.zone)) continue;
+    if (f.cell >= 0 && n.cell != static_cast<std::uint32_t>(f.cell)) continue;
+    all.push_back(n.server);
+  }
+  std::size_t count = all.size();  // a zone or cell, whole
+  if (f.nodes > 0) count = f.nodes;
+  if (f.nodes == 0 && f.part > 0) count = part_of(f.part, all.size());
+  Stream random(s.seed, Actor::kFaults, fault);
+  while (chosen.size() < count && !all.empty()) {
+    const std::size_t i = random.below(all.size());
+    chosen.push_back(all[i]);
+    all[i] = all.back();
+    all.pop_back();
+  }
+  std::sort(chosen.begin(), chosen.end());
+  return chosen;
+}
+
+Duration longest_deadline(const Scenario& s) {
+  Duration longest{0};
+  for (const ClassSpec& c : s.classes) longest = std::max(longest, c.settings.deadline);
+  return longest;
+}
+
+double mean_work_s(const Scenario& s) {
   double parts = 0, work = 0;
   for (const ClassSpec& c : s.classes) parts += c.part, work += c.part * c.work_s;
+  return work / parts;
+}
+
+double capacity_per_s(const Scenario& s) {
+  const double work = mean_work_s(s);
   double least = 1e18, calls = 1;
   for (const TierSpec& t : s.tiers) {
     const double speed = (t.speed.from + t.speed.to) / 2;
-    if (t.work > 0) least = std::min(least, t.nodes * t.cores * speed / (work / parts * t.work * calls));
+    if (t.work > 0) least = std::min(least, t.nodes * t.cores * speed / (work * t.work * calls));
     calls *= (std::floor(t.calls.from) + std::floor(t.calls.to)) / 2;
     if (calls <= 0) break;
   }
--- a/src/emulator/scenario.h
+++ b/src/emulator/scenario.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "config/toml_reader.h"
+#include "emulator/units.h"
 #include "routing/subset.h"
 
 namespace beechhill::emulator {
@@ -126,8 +127,13 @@
 // std::invalid_argument where the path leads through something that is not there.
 void override_key(toml::table& root, const std::string& path, const toml::node& value);
 
-// How many of `candidates` nodes a fault strikes.
-std::size_t nodes_struck(const FaultSpec& f, std::size_t candidates);
+// So large a part of `count` things: one at the least, all at the most.
+std::size_t part_of(double part, std::size_t count);
+// The nodes that the scenario's fault of that number strikes, by their number; drawn among `nodes`.
+std::vector<ServerId> nodes_struck(const Scenario& s, std::size_t fault, const std::vector<ServerEntry>& nodes);
+
+Duration longest_deadline(const Scenario& s);
+double mean_work_s(const Scenario& s);  // of a request, over all tiers, on a core of speed 1
 
 // Mean requests a second that the tightest tier can do, all nodes warm and whole.
 double capacity_per_s(const Scenario& s);
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -11,9 +11,6 @@
 constexpr std::uint64_t kWholeList = ~0ULL;
 constexpr Duration kFastError{500};       // a failing node fails this fast
 
-double to_s(Duration d) { return std::chrono::duration<double>(d).count(); }
-Duration to_span(double s) { return Duration(std::llround(s * 1e6)); }
-
 }  // namespace
 
 World::World(Scenario scenario, MakePolicy make_policy)
@@ -27,9 +24,7 @@
       nodes_(s_.tiers.size()),
       by_tier_(s_.tiers.size()),
       struck_(s_.faults.size()) {
-  double parts = 0;
-  for (const ClassSpec& c : s_.classes) parts += c.part, usual_work_ += c.part * c.work_s;
-  usual_work_ /= parts;
+  usual_work_ = mean_work_s(s_);
   for (std::uint32_t i = 0; i < s_.proxies; ++i) add_proxy(0, i % s_.tiers[0].zones);
   for (std::uint32_t t = 0; t < s_.tiers.size(); ++t)
     for (std::uint32_t i = 0; i < s_.tiers[t].nodes; ++i) add_node(t, std::nullopt);
@@ -38,9 +33,7 @@
   for (std::size_t i = 0; i < connections_.size(); ++i)
     connections_[i] = static_cast<std::uint32_t>(i % s_.proxies);
   for (std::size_t f = 0; f < s_.faults.size(); ++f) queue_.add(s_.faults[f].at, Kind::kFaultBegins, f);
-  Duration longest{0};
-  for (const ClassSpec& c : s_.classes) longest = std::max(longest, c.settings.deadline);
-  end_ = s_.length + longest + s_.answer_grace + std::chrono::seconds(1);
+  end_ = s_.length + longest_deadline(s_) + s_.answer_grace + std::chrono::seconds(1);
   metrics_.seconds.resize(static_cast<std::size_t>(to_s(end_)) + 1);
   for (std::size_t i = 0; i < metrics_.seconds.size(); ++i)
     queue_.add(std::chrono::seconds(i + 1), Kind::kSecond, i);
@@ -170,7 +163,7 @@
 
 // ---- Proxies
 
-std::uint64_t World::open_call(Call call) {
+void World::open_call(Call call) {
   const std::uint32_t proxy = call.proxy;
   Proxy& p = proxies_[proxy];
   call.place = p.calls.size();
@@ -185,7 +178,6 @@
   queue_.add(r.deadline, Kind::kDeadline, id);
   ++metrics_.decisions;
   drive(proxy, r);
-  return id;
 }
 
 void World::drive(std::uint32_t proxy, const Event& event) {
@@ -262,17 +254,16 @@
   if (links.used == Time{0}) ++metrics_.pairs;
   links.used = std::max(now_, Time{1});
   Duration trip = hop(p, n.entry.zone);
-  if (links.idle > 0) {
+  const bool opens = links.idle == 0;
+  if (!opens) {
     --links.idle;
   } else {
     ++metrics_.connections;
-    job.new_connection = true;
     job.handshake = to_s(spec.handshake_work);
     job.first += job.handshake;
     trip += spec.handshake + 2 * s_.network;
   }
   n.inbound += job.first;
-  const bool opens = job.new_connection;
   const bool reaches = n.mode == Mode::kUp && !blocked(p, p.tier, a.server);
   const std::uint64_t id = jobs_.add(std::move(job));
   c->attempts[attempt].job = id;
@@ -321,14 +312,16 @@
   rules_.answered(now_, id, refused);
   if (!c || c->proxy != proxy || c->over) return;
   c->over = true;
-  if (c->parent) {
-    sub_answered(c->parent, false, 0);
-  } else {
-    end_try(c->op, c, false, refused, false, advice, 0);
-  }
+  pass_on(*c, false, refused, advice, 0);
   tidy(id);
 }
 
+// The final answer of a call, to the job or the client that waits for it.
+void World::pass_on(const Call& c, bool ok, bool refused, Duration advice, double useful) {
+  if (c.parent) return sub_answered(c.parent, ok, useful);
+  end_try(c.op, &c, ok, refused, false, advice, useful);
+}
+
 void World::outcome(std::uint64_t id, std::uint32_t attempt, Result result, const LoadReport& report,
                     double useful) {
   Call* c = calls_.find(id);
@@ -339,11 +332,7 @@
   if (result == Result::kOk && !c->over) {
     c->over = true;
     rules_.answered(now_, id, false);
-    if (c->parent) {
-      sub_answered(c->parent, true, useful);
-    } else {
-      end_try(c->op, c, true, false, false, Duration{0}, useful);
-    }
+    pass_on(*c, true, false, Duration{0}, useful);
   }
   const std::uint32_t proxy = c->proxy;
   drive(proxy, Outcome{id, attempt, result, c->over, report});
@@ -430,7 +419,6 @@
     return send_back(id, Result::kFull);
   }
   job.there = true;
-  job.life = n.life;
   job.place = n.jobs.size();
   n.jobs.push_back(id);
   schedule(starts);
@@ -595,29 +583,9 @@
   drive(proxy, p.subset->apply(list, hashes));
 }
 
-std::vector<ServerId> World::victims(const FaultSpec& f, std::size_t fault) const {
-  std::vector<ServerId> all, chosen;
-  for (const NodeState& n : nodes_[f.tier]) {
-    if (f.zone >= 0 && n.entry.zone != static_cast<std::uint32_t>(f.zone)) continue;
-    if (f.cell >= 0 && n.entry.cell != static_cast<std::uint32_t>(f.cell)) continue;
-    if (n.entry.state == ServerState::kUp) all.push_back(n.entry.server);
-  }
-  const std::size_t count = nodes_struck(f, all.size());
-  Stream random(s_.seed, Actor::kFaults, fault);
-  while (chosen.size() < count && !all.empty()) {
-    const std::size_t i = random.below(all.size());
-    chosen.push_back(all[i]);
-    all[i] = all.back();
-    all.pop_back();
-  }
-  std::sort(chosen.begin(), chosen.end());
-  return chosen;
-}
-
 void World::node_down(std::uint32_t tier, ServerId node, bool silent) {
   NodeState& n = nodes_[tier][node];
   n.mode = silent ? Mode::kSilent : Mode::kDown;
-  ++n.life;
   lose_jobs(tier, node, !silent);
   n.model.restart(now_, now_);
   rules_.node_warm(tier, node);
@@ -658,7 +626,10 @@
 
 void World::begin_fault(std::size_t fault) {
   const FaultSpec& f = s_.faults[fault];
-  struck_[fault] = victims(f, fault);
+  std::vector<ServerEntry> up;
+  for (const NodeState& n : nodes_[f.tier])
+    if (n.entry.state == ServerState::kUp) up.push_back(n.entry);
+  struck_[fault] = nodes_struck(s_, fault, up);
   auto& nodes = nodes_[f.tier];
   queue_.add(f.at + f.length, Kind::kFaultEnds, fault);
   switch (f.kind) {
@@ -694,9 +665,8 @@
       replace(fault, 0);
       break;
     case FaultKind::kProxyCrash: {
-      const auto count = std::max<std::size_t>(
-          1, static_cast<std::size_t>(std::llround(f.part * static_cast<double>(by_tier_[0].size()))));
-      for (std::size_t i = 0; i < std::min(count, by_tier_[0].size()); ++i) kill_proxy(by_tier_[0][i]);
+      const std::size_t count = part_of(f.part, by_tier_[0].size());
+      for (std::size_t i = 0; i < count; ++i) kill_proxy(by_tier_[0][i]);
       break;
     }
     case FaultKind::kPartition: {
@@ -705,7 +675,7 @@
       cut.proxies.resize(proxies_.size());
       cut.nodes.resize(nodes.size());
       const auto& side = by_tier_[f.tier];
-      const auto count = std::max<std::size_t>(1, static_cast<std::size_t>(std::llround(static_cast<double>(side.size()) / 2)));
+      const std::size_t count = part_of(0.5, side.size());
       for (std::size_t i = 0; i < count; ++i) cut.proxies[side[i]] = true;
       for (const ServerId id : struck_[fault]) cut.nodes[id] = true;
       cuts_.push_back(std::move(cut));
@@ -769,9 +739,8 @@
     tell(f.tier, nodes_[f.tier][fresh].entry);
     old.entry.state = ServerState::kDraining;
     tell(f.tier, old.entry);
-    Duration longest{0};
-    for (const ClassSpec& c : s_.classes) longest = std::max(longest, c.settings.deadline);
-    queue_.add(now_ + s_.list_lag + s_.list_spread + s_.drain_grace + longest, Kind::kNodeGone, f.tier, done);
+    queue_.add(now_ + s_.list_lag + s_.list_spread + s_.drain_grace + longest_deadline(s_), Kind::kNodeGone, f.tier,
+               done);
   }
   queue_.add(now_ + f.length / count, Kind::kReplace, fault, done + 1);
 }
@@ -843,11 +812,7 @@
       if (Call* c = calls_.find(h.a); c && !c->over) {
         rules_.overdue(now_, h.a);
         c->over = true;
-        if (c->parent) {
-          sub_answered(c->parent, false, 0);
-        } else {
-          end_try(c->op, c, false, false, false, Duration{0}, 0);
-        }
+        pass_on(*c, false, false, Duration{0}, 0);
         drive(c->proxy, ClientGone{h.a});
         tidy(h.a);
       }
--- a/src/emulator/world.h
+++ b/src/emulator/world.h
@@ -66,7 +66,6 @@
   struct Job {  // an attempt, at its node or on the way
     std::uint32_t tier = 0, proxy = 0;
     ServerId node = 0;
-    std::uint64_t life = 0;  // of the node, once it is there
     std::uint64_t call = 0, sub_call = 0;
     std::uint32_t attempt = 0;
     ClassId c = 0;
@@ -77,7 +76,7 @@
     double handshake = 0;          // of which the first phase pays this for the connection
     double done = 0;               // of it and of what answered it below
     std::uint32_t calls_left = 0;
-    bool there = false, cancelled = false, last_phase = false, new_connection = false;
+    bool there = false, cancelled = false, last_phase = false;
     std::size_t place = 0;  // in its node's list
     Result result = Result::kOk;
     LoadReport report;
@@ -90,7 +89,6 @@
     Stream random;
     ServerEntry entry;
     Mode mode = Mode::kUp;
-    std::uint64_t life = 1;
     double errors = 0;
     Duration late{0};
     double inbound = 0;  // core-seconds on the way
@@ -142,7 +140,7 @@
   void end_op(std::uint64_t op, bool served, double useful);
 
   // Proxies
-  std::uint64_t open_call(Call call);
+  void open_call(Call call);
   void drive(std::uint32_t proxy, const Event& event);
   void perform(std::uint32_t proxy, const std::vector<Action>& actions);
   void act(std::uint32_t proxy, const Send& a);
@@ -155,6 +153,7 @@
   void act(std::uint32_t, const Log&) {}
   void answer(std::uint32_t proxy, RequestId id, bool refused, Duration advice);
   void outcome(std::uint64_t call, std::uint32_t attempt, Result result, const LoadReport& report, double useful);
+  void pass_on(const Call& c, bool ok, bool refused, Duration advice, double useful);
   void tidy(std::uint64_t call);
   void drop_call(std::uint64_t call);
   void deadline(std::uint64_t call);
@@ -177,7 +176,6 @@
   void told(std::uint32_t proxy, std::uint64_t message);
   void hold(Proxy& p, const ServerEntry& e);
   void drive_list(std::uint32_t proxy, const Discovery& list);
-  std::vector<ServerId> victims(const FaultSpec& f, std::size_t fault) const;
   void begin_fault(std::size_t fault);
   void end_fault(std::size_t fault);
   void replace(std::size_t fault, std::uint64_t done);
--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -186,6 +186,20 @@
   co_return read == Io::kOk && buffer.starts_with("HTTP/1.1 200");
 }
 
+// Throws where the proxy ends, or is not ready in time.
+Task<> until_ready(runtime::Scheduler& scheduler, ProxyProcess& proxy) {
+  const auto patience = Clock::now() + 15s;
+  for (;;) {
+    const bool up = co_await ready(scheduler, proxy.address());
+    if (up) co_return;
+    if (proxy.ended()) throw std::runtime_error("a proxy ended at its start: " + proxy.last_words());
+    if (Clock::now() > patience) throw std::runtime_error("a proxy is not ready after 15 s: " + proxy.last_words());
+    Wait wait(scheduler);
+    wait.until(Clock::now() + 20ms);
+    co_await wait;
+  }
+}
+
 // Runs a task to its end on the scheduler, then stops it; a fault in it comes out of Scheduler::run.
 Task<> then_stop(runtime::Scheduler& scheduler, Task<> task) {
   co_await task;
@@ -231,18 +245,7 @@
   Task<> all() {
     std::vector<sockaddr_in> addresses;
     for (auto& p : proxies_) p->start(), addresses.push_back(p->address());
-    const auto patience = Clock::now() + 15s;
-    for (auto& p : proxies_) {
-      for (;;) {
-        const bool up = co_await ready(scheduler_, p->address());
-        if (up) break;
-        if (p->ended()) throw std::runtime_error("a proxy ended at its start: " + p->last_words());
-        if (Clock::now() > patience) throw std::runtime_error("a proxy is not ready after 15 s: " + p->last_words());
-        Wait wait(scheduler_);
-        wait.until(Clock::now() + 20ms);
-        co_await wait;
-      }
-    }
+    for (auto& p : proxies_) co_await until_ready(scheduler_, *p);
     clock_.zero = Clock::now();  // the day begins
     load_ = std::make_unique<Load>(scheduler_, clock_, s_, std::move(addresses));
     scheduler_.spawn(fleet_.play_faults([this](double part, bool down) { crash(part, down); }));
@@ -251,8 +254,8 @@
   }
 
   void crash(double part, bool down) {
-    const auto count = std::max<std::size_t>(1, static_cast<std::size_t>(part * static_cast<double>(proxies_.size()) + 0.5));
-    for (std::size_t i = 0; i < std::min(count, proxies_.size()); ++i) down ? proxies_[i]->kill() : proxies_[i]->start();
+    const std::size_t count = emulator::part_of(part, proxies_.size());
+    for (std::size_t i = 0; i < count; ++i) down ? proxies_[i]->kill() : proxies_[i]->start();
   }
 
   Task<> tell() {
@@ -297,11 +300,7 @@
  private:
   Task<> all(std::vector<std::size_t> clients, double seconds) {
     proxy_->start();
-    const auto patience = Clock::now() + 15s;
-    for (bool up = false; !up;) {
-      up = co_await ready(scheduler_, proxy_->address());
-      if (!up && Clock::now() > patience) throw std::runtime_error("a proxy is not ready after 15 s");
-    }
+    co_await until_ready(scheduler_, *proxy_);
     const auto span = std::chrono::duration_cast<Clock::duration>(std::chrono::duration<double>(seconds));
     for (const std::size_t n : clients) {
       ClosedLoad load(scheduler_, s_, proxy_->address(), n);
--- a/src/lab/standin.cpp
+++ b/src/lab/standin.cpp
@@ -341,32 +341,21 @@
   discovery_.tell(row(node, state), clock_.now() + lag);
 }
 
-std::vector<std::size_t> Fleet::victims(std::size_t fault) const {
-  const FaultSpec& f = s_.faults[fault];
-  std::vector<std::size_t> all, chosen;
-  for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    if (f.zone >= 0 && nodes_[i]->zone() != static_cast<std::uint32_t>(f.zone)) continue;
-    if (f.cell >= 0 && nodes_[i]->cell() != static_cast<std::uint32_t>(f.cell)) continue;
-    all.push_back(i);
-  }
-  emulator::Stream random(s_.seed, emulator::Actor::kFaults, fault);
-  for (std::size_t left = emulator::nodes_struck(f, all.size()); left > 0 && !all.empty(); --left) {
-    const std::size_t i = random.below(all.size());
-    chosen.push_back(all[i]);
-    all[i] = all.back();
-    all.pop_back();
-  }
-  return chosen;
-}
-
 void Fleet::begin(std::size_t fault) {
   const FaultSpec& f = s_.faults[fault];
-  struck_[fault] = victims(fault);
+  std::vector<ServerEntry> all;
+  for (const auto& n : nodes_) {
+    ServerEntry& e = all.emplace_back();
+    e.server = n->id();
+    e.zone = n->zone();
+    e.cell = n->cell();
+  }
+  struck_[fault] = emulator::nodes_struck(s_, fault, all);
   if (f.kind == FaultKind::kStaleList) stale_ = f.delay;
   if (f.kind == FaultKind::kProxyCrash && proxies_) proxies_(f.part, true);
   if (f.kind == FaultKind::kLateReports)
     for (auto& n : nodes_) n->delay_reports(f.delay);
-  for (const std::size_t i : struck_[fault]) {
+  for (const ServerId i : struck_[fault]) {
     StandInNode& n = *nodes_[i];
     if (f.kind == FaultKind::kErrors) n.set_errors(f.factor);
     if (f.kind == FaultKind::kSlow) n.slow_down(f.factor);
@@ -388,7 +377,7 @@
   if (f.kind == FaultKind::kProxyCrash && proxies_) proxies_(f.part, false);
   if (f.kind == FaultKind::kLateReports)
     for (auto& n : nodes_) n->delay_reports(Duration{0});
-  for (const std::size_t i : struck_[fault]) {
+  for (const ServerId i : struck_[fault]) {
     StandInNode& n = *nodes_[i];
     if (f.kind == FaultKind::kErrors) n.set_errors(0);
     if (f.kind == FaultKind::kSlow) n.slow_down(1);
--- a/src/lab/standin.h
+++ b/src/lab/standin.h
@@ -44,7 +44,6 @@
   std::uint32_t zone() const { return cell() % spec_.zones; }
   std::uint64_t taken() const { return taken_; }  // whole requests read, of all lives
   std::uint64_t connections() const { return accepted_; }
-  std::size_t busiest() const { return model_.most_waiting(); }
 
  private:
   struct Job {
@@ -121,7 +120,6 @@
  private:
   Json::Value row(const StandInNode& node, ServerState state) const;
   void tell(const StandInNode& node, ServerState state, Duration more = Duration{0});
-  std::vector<std::size_t> victims(std::size_t fault) const;
   void begin(std::size_t fault);
   void end(std::size_t fault);
 
@@ -130,7 +128,7 @@
   const emulator::Scenario& s_;
   StandInDiscovery discovery_;
   std::vector<std::unique_ptr<StandInNode>> nodes_;
-  std::vector<std::vector<std::size_t>> struck_;
+  std::vector<std::vector<ServerId>> struck_;
   emulator::Stream lags_;
   Duration stale_{0};
   std::function<void(double, bool)> proxies_;
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -148,9 +148,10 @@
 void event(Level level, std::string_view name, std::initializer_list<Field> fields) {
   const Level least = writer ? writer->level.load() : Level::kInfo;
   if (level < least || least == Level::kOff) return;
-  const auto now = std::chrono::system_clock::now();
   const Settings usual;
   const Settings& s = writer ? writer->settings : usual;
+  std::chrono::system_clock::time_point now;
+  if (s.time) now = std::chrono::system_clock::now();
   const std::string line = line_of(s.format, level, name, fields.begin(), fields.size(), s.time ? &now : nullptr) + "\n";
   if (!writer) return write_all(line);
   ++writer->posted;
--- a/src/routing/subset.cpp
+++ b/src/routing/subset.cpp
@@ -44,13 +44,9 @@
 
 double arc_start(const SubsetSettings& s, const std::string& name) {
   if (!s.place) return fraction(hash_of_name(name));
-  std::uint32_t v = *s.place;  // its bits, reversed behind the point
-  v = (v >> 16) | (v << 16);
-  v = ((v & 0xff00ff00u) >> 8) | ((v & 0x00ff00ffu) << 8);
-  v = ((v & 0xf0f0f0f0u) >> 4) | ((v & 0x0f0f0f0fu) << 4);
-  v = ((v & 0xccccccccu) >> 2) | ((v & 0x33333333u) << 2);
-  v = ((v & 0xaaaaaaaau) >> 1) | ((v & 0x55555555u) << 1);
-  return v * 0x1.0p-32;
+  double at = 0, half = 0.5;  // its bits, reversed behind the point
+  for (std::uint32_t left = *s.place; left > 0; left >>= 1, half /= 2) at += (left & 1) * half;
+  return at;
 }
 
 SubsetView::SubsetView(SubsetSettings settings, Unit unit, std::string name)
