--- a/include/beechhill/balancer.h
+++ b/include/beechhill/balancer.h
@@ -137,7 +137,14 @@
   TimerToken token = 0;
 };
 
-using Event = std::variant<Discovery, Request, FirstByte, Outcome, ClientGone, ProbeResult, Timer>;
+// An operator leaves a server out, or lets it serve again, whatever the list says of it: either bars new work. It may
+// come before the list that first names the server. What was let serve again counts as just started.
+struct Barred {
+  ServerId server = 0;
+  bool barred = true;
+};
+
+using Event = std::variant<Discovery, Request, FirstByte, Outcome, ClientGone, ProbeResult, Timer, Barred>;
 
 // ---- Actions
 
@@ -191,6 +198,12 @@
   // Takes one event that happened at `now` and appends the actions to carry out, in order.
   void handle(Time now, const Event& event, std::vector<Action>& actions);
 
+  // How many servers are listed, and how many of them get nothing new at `now`, whatever the load.
+  struct Census {
+    std::size_t listed = 0, avoided = 0;
+  };
+  Census census(Time now) const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- /dev/null
+++ b/src/admin/admin_door.cpp
@@ -0,0 +1,177 @@
+#include "admin/admin_door.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <system_error>
+
+#include "http/message.h"
+#include "log/log.h"
+#include "proxy/log.h"
+
+namespace beechhill::admin {
+
+using namespace std::chrono_literals;
+using net::Io;
+using proxy::Asked;
+using runtime::Clock;
+using runtime::Task;
+
+namespace {
+
+constexpr auto kReadLimit = 1500ms;   // for a whole call
+constexpr auto kSilentAge = 20ms;     // when the door is full: a caller that means it has spoken by then
+constexpr auto kAnswerLimit = 800ms;  // for the actor that owns the matter; an answer is due within 1 s
+constexpr auto kWriteLimit = 2000ms, kLingerLimit = 500ms;
+constexpr auto kAcceptPause = 10ms;
+
+}  // namespace
+
+AdminDoor::AdminDoor(runtime::Scheduler& scheduler, const sockaddr_in& address, proxy::DecisionBox& decisions,
+                     proxy::DoorBox& door, const proxy::Telemetry& telemetry, const std::vector<std::string>& classes,
+                     std::function<bool()> serving)
+    : scheduler_(scheduler),
+      decisions_(decisions),
+      door_(door),
+      telemetry_(telemetry),
+      classes_(classes),
+      serving_(std::move(serving)),
+      listener_(scheduler, address) {}
+
+Task<> AdminDoor::run() {
+  for (;;) {
+    const bool full = callers_.size() >= kMostCallers && !let_one_go();
+    Io io = Io::kError;
+    if (!full) {
+      sockaddr_in from{};
+      net::Fd fd;
+      io = co_await listener_.accept(runtime::TimePoint::max(), fd, from);
+      if (io == Io::kOk) {
+        try {
+          callers_.push_back(std::make_shared<Caller>(scheduler_, std::move(fd)));
+          scheduler_.spawn(serve(callers_.back()));
+        } catch (const std::system_error& error) {  // epoll takes no more
+          proxy::log_fault("operator_let_go", error);
+        }
+      }
+    }
+    // After each caller the others have a turn: it has spoken, if it means to, by the next look.
+    runtime::Wait wait(scheduler_);
+    if (full) wait.notified(left_);
+    wait.until(Clock::now() + (io == Io::kOk ? 0ms : kAcceptPause));
+    co_await wait;
+  }
+}
+
+// True where there is a place now: callers that say nothing must not keep out one that does.
+bool AdminDoor::let_one_go() {
+  const auto now = Clock::now();
+  for (const auto& caller : callers_) {
+    if (!caller->asking || now - caller->came < kSilentAge) continue;
+    caller->let_go.notify();
+    callers_.remove(caller);
+    return true;
+  }
+  return false;
+}
+
+Task<> AdminDoor::serve(std::shared_ptr<Caller> caller) {
+  try {
+    co_await converse(*caller);
+  } catch (const std::exception& error) { proxy::log_fault("operator_fault", error); }
+  callers_.remove(caller);
+  left_.notify();
+}
+
+Task<> AdminDoor::converse(Caller& caller) {
+  http::Parser parser(http::Parser::Kind::kRequest);
+  http::Progress progress = http::Progress::kMore;
+  std::string buffer, answer;
+  const auto until = caller.came + kReadLimit;
+  while (progress == http::Progress::kMore) {
+    const Io io = co_await caller.stream.read(buffer, until, &caller.let_go);
+    if (io == Io::kTimeout && (parser.head_done() || !buffer.empty())) {
+      answer = http::write_response(408, "", "", true);
+      break;
+    }
+    if (io != Io::kOk) co_return;
+    progress = parser.feed(buffer);
+  }
+  caller.asking = false;
+  if (progress == http::Progress::kBad) answer = http::write_response(parser.error_status(), "", "", true);
+  if (progress == http::Progress::kDone) {
+    const std::string method = parser.message().method, target = parser.message().target;
+    answer = co_await answer_to(method, target);
+  }
+  const Io written = co_await caller.stream.write(answer, Clock::now() + kWriteLimit);
+  if (written == Io::kOk) co_await caller.stream.linger(Clock::now() + kLingerLimit, caller.let_go);
+}
+
+Task<int> AdminDoor::done(std::shared_ptr<Asked> asked) {
+  const auto until = Clock::now() + kAnswerLimit;
+  while (asked->status == 0) {
+    runtime::Wait wait(scheduler_);
+    wait.notified(asked->done).until(until);
+    if (co_await wait == runtime::Wake::kTime) co_return 503;
+  }
+  co_return asked->status;
+}
+
+Task<std::string> AdminDoor::answer_to(const std::string& method, const std::string& target) {
+  const Call call = read_call(method, target);
+  int status = call.error;
+  const auto asked = std::make_shared<Asked>();
+  bool posted = true;
+  if (call.error == 0) {
+    switch (call.what) {
+      case What::kReady:
+        status = serving_() ? 200 : 503;
+        break;
+      case What::kTelemetry: {
+        std::string answer = co_await figures();
+        co_return answer;
+      }
+      case What::kExclude:
+      case What::kInclude:
+        posted = decisions_.post(proxy::Exclude{call.target, call.what == What::kExclude, asked});
+        break;
+      case What::kEvacuate:
+        posted = door_.post({proxy::DoorWord::kEvacuate, asked});
+        break;
+      case What::kRejoin:
+        posted = door_.post({proxy::DoorWord::kRejoin, asked});
+        break;
+    }
+    if (!posted) status = 503;
+    if (status == 0) status = co_await done(asked);
+    if (call.what != What::kReady)
+      log::info("operator", {{"call", std::string_view(target)}, {"status", static_cast<std::int64_t>(status)}});
+  }
+  std::string answer = http::write_response(status, "", "", true);
+  co_return answer;
+}
+
+Task<std::string> AdminDoor::figures() {
+  const auto asked = std::make_shared<Asked>();
+  int status = 503;
+  if (decisions_.post(proxy::Census{asked})) status = co_await done(asked);
+  Json::Value root(Json::objectValue);
+  for (const char* name : {"completed", "rejected", "failed"}) root[name] = Json::Value(Json::objectValue);
+  for (ClassId id = 0; id < classes_.size(); ++id) {
+    const proxy::Telemetry::Counts& c = telemetry_.of(id);
+    root["completed"][classes_[id]] = Json::UInt64(c.completed);
+    root["rejected"][classes_[id]] = Json::UInt64(c.rejected);
+    root["failed"][classes_[id]] = Json::UInt64(c.failed);
+  }
+  root["upstream_requests"] = Json::UInt64(telemetry_.upstream_requests());
+  root["pending"] = Json::UInt64(telemetry_.pending());
+  root["members"] = Json::UInt64(asked->members);
+  root["members_unavailable"] = Json::UInt64(asked->unavailable);
+  Json::StreamWriterBuilder writer;
+  writer["indentation"] = "";
+  std::string body = Json::writeString(writer, root) + "\n";
+  std::string answer = http::write_response(status, "Content-Type: application/json\r\n", status == 200 ? body : "", true);
+  co_return answer;
+}
+
+}  // namespace beechhill::admin
--- /dev/null
+++ b/src/admin/call.h
@@ -0,0 +1,24 @@
+// What operators may call: method and path to a call, or the status that says what is wrong. No I/O.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace beechhill::admin {
+
+enum class What { kReady, kTelemetry, kExclude, kInclude, kEvacuate, kRejoin };
+
+struct Call {
+  int error = 0;  // 0: it can be carried out; else 400, 404 or 405
+  What what = What::kReady;
+  std::string target;  // a backend's id, for kExclude and kInclude
+};
+
+// `target` in origin form: path and query.
+Call read_call(std::string_view method, std::string_view target);
+
+// RFC 3986, section 2.1. Nothing where an escape is cut short or holds no hexadecimal digits.
+std::optional<std::string> percent_decoded(std::string_view text);
+
+}  // namespace beechhill::admin
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -37,6 +37,7 @@
 constexpr double kPrior = 1;              // answers, or utilisation, that a server's kind stands for
 constexpr double kKindPrior = 0.5;        // utilisation that the mean stands for: kinds differ more
 constexpr double kWeightFloor = 0.1;      // of the mean weight
+constexpr double kTrickle = 1;            // calls a second, over all instances, that a cold server may get
 constexpr double kRounds = 4;             // over the servers, that own sends are remembered at the least
 constexpr double kRateSpan = 5;           // seconds, memory of the rate of own sends
 constexpr double kFewServers = 8;         // that an instance uses at the least
@@ -85,6 +86,13 @@
     timer(kSweepTimer, sweep - now_);
   }
 
+  Census census(Time now) const {
+    Census c;
+    for (const Server& s : servers_)
+      if (s.listed) ++c.listed, c.avoided += !up(s) || now < s.full_until;
+    return c;
+  }
+
  private:
   // ---- Settings
 
@@ -175,7 +183,7 @@
     auto& queues = levels_[c.level].queues[c.width - 1];
     c.queue = deal(c.request.tenant, queues);
     Queue& q = queues[c.queue];
-    if (q.held.size() >= kQueueLength || c.request.deadline <= now_) return refuse(c);
+    if (q.held.size() >= kQueueLength || c.request.deadline <= now_ || forsaken()) return refuse(c);
     if (q.running == 0 && q.held.empty()) busy_queues_ += c.width, q.start = virtual_;
     present_ += c.width;
     q.held.push_back(c.request.id);
@@ -241,11 +249,12 @@
 
   // ---- Dispatch: the server with the least own work per reported weight
 
-  static bool up(const Server& s) { return s.listed && s.entry.state == ServerState::kUp; }
-  bool cold(const Server& s) const { return s.entry.born && now_ < *s.entry.born + s_.cold_span; }
+  static bool up(const Server& s) { return s.listed && !s.barred && s.entry.state == ServerState::kUp; }
+  static std::optional<Time> born(const Server& s) { return std::max(s.entry.born, s.back); }
+  bool cold(const Server& s) const { return born(s) && now_ < *born(s) + s_.cold_span; }
   double warmth(const Server& s) const {  // the least share of its capacity that a server has by now
     if (!cold(s)) return 1;
-    const double age = std::max(0.0, seconds(now_ - *s.entry.born));
+    const double age = std::max(0.0, seconds(now_ - *born(s)));
     return s_.cold_from + (1 - s_.cold_from) * age / seconds(s_.cold_span);
   }
 
@@ -254,7 +263,8 @@
     if (!cold(s)) return true;
     // Guards against pushing a cold server over: each instance sends it at most its warmth's share of what
     // a warm peer gets from here, so all together stay under what such a peer takes, let alone the multiple.
-    s.budget.fill(now_, warmth(s) * send_rate() / std::max(1, warm_servers_), 1);
+    const double share = warmth(s) * send_rate() / std::max(1, warm_servers_);
+    s.budget.fill(now_, std::max(share, kTrickle / s_.replicas), 1);
     return s.budget.tokens >= 1;
   }
 
@@ -575,13 +585,7 @@
       choices_ = servers_.size() + d.entries.size();
     }
     for (const auto& e : d.entries) {
-      while (servers_.size() <= e.server) {  // instances must not start, nor probe, in the same order
-        servers_.emplace_back().turn = uniform();
-        servers_.back().order = uniform();
-        servers_.back().tallies.resize(s_.classes.size());
-        servers_.back().gone = servers_.size() <= e.server;  // not in any list yet
-      }
-      Server& s = servers_[e.server];
+      Server& s = server(e.server);
       const bool reborn = e.born && (!s.entry.born || *e.born != *s.entry.born);
       // Numbers are given out again: what comes back after it had gone may be another machine.
       if (reborn || (s.gone && e.state != ServerState::kRemoved)) restarted(s);
@@ -589,8 +593,7 @@
       if (kinds_.size() <= e.kind) kinds_.resize(e.kind + 1);
       s.listed = e.state != ServerState::kRemoved;
       s.gone = s.gone || !s.listed;
-      if (whole) continue;
-      up(s) ? ranked_.insert(s.order, e.server) : ranked_.erase(s.order, e.server);
+      if (!whole) rank(e.server);
     }
     if (!whole) return;
     std::vector<std::pair<double, ServerId>> all;
@@ -601,16 +604,45 @@
     ranked_.assign(std::move(all));
   }
 
-  void restarted(Server& s) {  // what was known of its former life is void
-    const Server former = std::exchange(s, Server{});
-    s.tallies.resize(s_.classes.size());
-    s.open = former.open;
-    s.order = former.order;
-    s.turn = uniform();
-    s.waiting_since = now_;
-    s.budget = {uniform(), now_};  // instances must not spend their first token together
+  Server& server(ServerId id) {
+    while (servers_.size() <= id) {  // instances must not start, nor probe, in the same order
+      servers_.emplace_back().turn = uniform();
+      servers_.back().order = uniform();
+      servers_.back().tallies.resize(s_.classes.size());
+      servers_.back().gone = servers_.size() <= id;  // not in any list yet
+    }
+    return servers_[id];
+  }
+
+  void rank(ServerId id) {
+    const Server& s = servers_[id];
+    up(s) ? ranked_.insert(s.order, id) : ranked_.erase(s.order, id);
   }
 
+  void on(const Barred& b) {
+    Server& s = server(b.server);
+    if (s.barred && !b.barred) {  // it was out of use, and may have been started anew: what was known is void
+      const Server former = s;
+      restarted(s);
+      s.entry = former.entry, s.listed = former.listed, s.gone = former.gone, s.back = now_;
+    }
+    s.barred = b.barred;
+    rank(b.server);
+    if (!forsaken()) return;
+    for (auto& [id, c] : calls_)
+      if (c.held) c.hold_until = now_;
+    next_drop_ = now_;
+  }
+
+  // Whether operators have left out all there are: nothing will come of holding a call.
+  bool forsaken() const {
+    const auto barred = [](const Server& s) { return s.barred; };
+    return ranked_.size() == 0 && std::any_of(servers_.begin(), servers_.end(), barred);
+  }
+
+  // Instances must not spend their first token together.
+  void restarted(Server& s) { s.start_anew(now_, uniform(), uniform()); }
+
   void on(const ProbeResult& p) {
     if (p.result == Result::kOk) observe(p.server, p.report);
   }
@@ -659,7 +691,7 @@
   RankedSet ranked_;  // those that are up, by their order
   std::vector<Evidence> kinds_;                // by kind, summed
   std::vector<Tally> tallies_;                 // by class, summed
-  std::unordered_map<RequestId, Call> calls_;  // looked up only, never walked
+  std::unordered_map<RequestId, Call> calls_;  // never walked where order could tell
   double guess_ = kOpen;                       // G, seconds: the shortest aim
   double virtual_ = 0, limit_ = kOpen;         // C
   double mean_running_ = 0, overrun_ = 0;      // the latter in widths over C times seconds
@@ -683,5 +715,6 @@
 void Balancer::handle(Time now, const Event& event, std::vector<Action>& actions) {
   impl_->handle(now, event, actions);
 }
+Balancer::Census Balancer::census(Time now) const { return impl_->census(now); }
 
 }  // namespace beechhill
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -67,6 +67,7 @@
   c.name = get<std::string>(root, "name", "");
   c.listen = address_in(root, "listen");
   c.discovery = address_in(root, "discovery");
+  if (find(root, "admin_addr")) c.admin = address_in(root, "admin_addr");
   if (find(root, "limits")) c.sockets = get<std::uint32_t>(object_in(root, "limits"), "sockets", c.sockets);
   if (c.sockets < kFewestSockets) fault("limits.sockets", "under " + std::to_string(kFewestSockets), find(root, "limits"));
   if (find(root, "known")) c.known = read_pool_config(object_in(root, "known"));
@@ -105,8 +106,11 @@
 }  // namespace
 
 Config load_config() {
-  return load({{"GW_NAME", "name"}, {"GW_LISTEN", "listen"}, {"GW_DISCOVERY", "discovery"}});
+  return load({{"GW_NAME", "name"}, {"GW_LISTEN", "listen"}, {"GW_DISCOVERY", "discovery"},
+               {"GW_ADMIN_ADDR", "admin_addr"}});
+}
+Config reload_config() {
+  return load({{"GW_NAME", "name"}, {"GW_LISTEN", "listen"}, {"GW_ADMIN_ADDR", "admin_addr"}});
 }
-Config reload_config() { return load({{"GW_NAME", "name"}, {"GW_LISTEN", "listen"}}); }
 
 }  // namespace beechhill::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,7 @@
 struct Config {
   std::string name;
   sockaddr_in listen{}, discovery{};
+  std::optional<sockaddr_in> admin;  // where operators call; absent: nowhere
   std::uint32_t sockets = 1024;
   PoolConfig known;
   NamedSettings named;
@@ -37,7 +39,7 @@
 PoolConfig read_pool_config(const Json::Value& list);
 Config read_config(const Json::Value& root);
 
-// The file that GW_CONFIG names; GW_NAME, GW_LISTEN and GW_DISCOVERY, where set, go before what it holds.
+// The file that GW_CONFIG names; GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_ADMIN_ADDR, where set, go before what it holds.
 Config load_config();
 // The same file once it has been replaced: its own `discovery` counts now, as the variable is from the start.
 Config reload_config();
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -10,6 +10,7 @@
 
 // Every message but a list stands for a descriptor's doing, so this is not reached.
 constexpr std::size_t kInboxCapacity = 8192;
+constexpr std::size_t kMostGone = 16 * 1024;  // ids that operators may still name
 
 }  // namespace
 
@@ -140,7 +141,7 @@
   Result never = Result::kOk;
   if (entry.over || step.deadline <= now() || entry.servers.size() > most_tries_) {
     never = Result::kMoot;
-  } else if (backend.state != ServerState::kUp || !backend.peer->post(RouteStep(step))) {
+  } else if (backend.state != ServerState::kUp || backend.barred || !backend.peer->post(RouteStep(step))) {
     never = Result::kConnectFailed;
   }
   if (never != Result::kOk) own_.push_back(StepDone{a.id, step.attempt, never, {}, {}});
@@ -185,7 +186,11 @@
     e.cell = row.cell;
     if (row.born.count() > 0) e.born = std::chrono::duration_cast<Time>(row.born) - unix_offset_;
     if (e.server >= backends_.size()) backends_.emplace_back();
-    if (!backends_[e.server].peer) backends_[e.server].peer = make_peer_(inbox_, e.server, row.address);
+    if (!backends_[e.server].peer) {
+      backends_[e.server].peer = make_peer_(inbox_, e.server, row.address);
+      // Before the list itself: a ban outlasts it.
+      if (barred_.contains(row.host)) bar(e.server, true);
+    }
     named.resize(backends_.size(), false);
     named[e.server] = true;
     tell(e.server, PeerStatus{row.state, told, row.address});
@@ -216,8 +221,44 @@
   return part;
 }
 
+void DecisionActor::on(Census& census) {
+  const auto [listed, avoided] = balancer_.census(now());
+  census.asked->members = listed;
+  census.asked->unavailable = avoided;
+  census.asked->answer(200);
+}
+
+bool DecisionActor::ever_listed(const std::string& host) const {
+  return servers_.known(host).has_value() || gone_.contains(host) || barred_.contains(host);
+}
+
+// Bans by hand belong to an id, whether a list names it now or not.
+void DecisionActor::on(Exclude& order) {
+  const bool known = ever_listed(order.host);
+  if (known) {
+    const bool changed = order.out ? barred_.insert(order.host).second : barred_.erase(order.host) > 0;
+    const auto server = servers_.known(order.host);
+    if (changed && server) {
+      Backend& backend = backends_[*server];
+      bar(*server, order.out);
+      tell(*server, PeerStatus{backend.state, now(), backend.address});
+      let_go(*server);
+    }
+  }
+  if (order.asked) order.asked->answer(known ? 200 : 404);
+}
+
+void DecisionActor::bar(ServerId server, bool barred) {
+  backends_[server].barred = barred;
+  drive(Barred{server, barred});
+}
+
 void DecisionActor::tell(ServerId server, PeerStatus status) {
-  backends_[server].state = status.state;
+  Backend& backend = backends_[server];
+  backend.state = status.state;
+  if (status.state != ServerState::kRemoved) backend.address = status.address;
+  // To its peer a backend that is left out is one that drains: what is not begun stays unsent, idle connections go.
+  if (backend.barred && status.state == ServerState::kUp) status.state = ServerState::kDraining;
   if (!backends_[server].peer->post(status)) log_lost("peer_status");
 }
 
@@ -226,6 +267,13 @@
   Backend& backend = backends_[server];
   if (!backend.peer || backend.state != ServerState::kRemoved || backend.used > 0) return;
   backend.peer.reset();
+  if (backend.barred) bar(server, false);  // its number may be another's next; barred_ keeps the ban
+  const std::string& host = servers_.name(server);
+  if (gone_.insert(host).second) gone_order_.push_back(host);
+  if (gone_order_.size() > kMostGone) {
+    gone_.erase(gone_order_.front());
+    gone_order_.pop_front();
+  }
   servers_.forget(server);
 }
 
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -1,10 +1,14 @@
 // Sole owner of the decision module: its clock, timers, operations and the numbers that names stand for.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
+#include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "config/interner.h"
@@ -37,6 +41,8 @@
   struct Backend {
     std::unique_ptr<Peer> peer;                 // none: that number is free
     ServerState state = ServerState::kRemoved;  // as last told
+    bool barred = false;                        // left out by hand
+    sockaddr_in address{};
     std::size_t used = 0;                       // operations' attempts and probes that refer to it
   };
 
@@ -50,7 +56,11 @@
   void on(StepDone& done);
   void on(ProbeDone& done);
   void on(config::PoolConfig& pool);
+  void on(Exclude& order);
+  void on(Census& census);
+  bool ever_listed(const std::string& host) const;
   void take_list(const config::PoolConfig& pool, ListKind kind);
+  void bar(ServerId server, bool barred);
   void tell(ServerId server, PeerStatus status);
   Discovery part_of(Discovery list, const std::vector<std::uint64_t>& hashes);
   void let_go(ServerId server);
@@ -74,6 +84,9 @@
   bool has_list_ = false;
   config::Interner servers_, zones_, kinds_;
   std::vector<Backend> backends_;  // by ServerId
+  std::set<std::string> barred_;   // left out by hand, by id: a ban outlasts what the list says
+  std::unordered_set<std::string> gone_;  // ids that a list once named, kMostGone of them at the most
+  std::deque<std::string> gone_order_;    // the longest gone first
   std::unordered_map<RequestId, Entry> entries_;
   std::multimap<Time, TimerToken> timers_;
   std::vector<Action> actions_;
--- a/src/proxy/front_socket.cpp
+++ b/src/proxy/front_socket.cpp
@@ -5,6 +5,8 @@
 #include <system_error>
 #include <utility>
 
+#include "log/log.h"
+
 namespace beechhill::proxy {
 
 using namespace std::chrono_literals;
@@ -25,11 +27,7 @@
 constexpr auto kLingerLimit = 1s;          // for a client to close after the last answer
 constexpr auto kAcceptPause = 20ms;        // when descriptors are short
 constexpr auto kAcceptCheck = 200ms;       // how often the door looks whether it is to close
-constexpr auto kAcceptAfterTerm = 1000ms;  // callers hear of a planned end only some time after it began
-// A planned end is cut short no sooner than the longest deadline, or 3 s where that is more, and 0.7 s after
-// its signal. All has its answer 0.2 s before; clients' kept connections serve on until 0.6 s before that, as
-// there may be no other proxy for them meanwhile.
-constexpr Duration kLongestCounted = 3s, kAnsweredAfterTerm = 500ms, kLastTaken = 600ms;
+constexpr std::size_t kInboxCapacity = 32;
 constexpr Duration kOverdue = 10ms;  // after the deadline, when the module has not answered
 constexpr Duration kIdKept = 1s;     // after its deadline, when nothing of a request is out any more
 constexpr std::size_t kMostIds = 32 * 1024;
@@ -58,14 +56,27 @@
 
 // ---- The door
 
+namespace {
+
+Duration longest_deadline(const config::Config& config) {
+  Duration longest{0};
+  for (const ClassSettings& c : config.named.settings.classes) longest = std::max(longest, c.deadline);
+  return longest;
+}
+
+}  // namespace
+
 FrontDoor::FrontDoor(runtime::Scheduler& scheduler, DecisionBox& decisions, const config::Config& config,
-                     std::size_t descriptors, std::function<bool()> has_list)
+                     Telemetry& telemetry, std::size_t descriptors, std::function<bool()> has_list)
     : scheduler_(scheduler),
       decisions_(decisions),
       config_(config),
+      telemetry_(telemetry),
       budget_(descriptors),
       has_list_(std::move(has_list)),
-      listener_(std::make_unique<net::Listener>(scheduler, config.listen)) {
+      listener_(std::make_unique<net::Listener>(scheduler, config.listen)),
+      inbox_(kInboxCapacity),
+      course_(longest_deadline(config)) {
   for (const auto& name : config.named.classes) classes_.id(name);
   for (const auto& name : config.named.tenants) tenants_.id(name);
 }
@@ -82,7 +93,7 @@
 }  // namespace
 
 Task<> FrontDoor::run() {
-  for (std::size_t taken = 1; !closing_; ++taken) {
+  for (std::size_t taken = 1; course_.accepts(now()); ++taken) {
     if (taken % kAcceptTurn == 0 || !budget_.room()) {  // those taken have spoken, if ever, after their turn
       runtime::Wait others(scheduler_);
       others.until(Clock::now());
@@ -139,27 +150,35 @@
     if (socket) return socket->ask_to_close(EndReason::kEvicted);  // its place is free once it has closed
 }
 
-Task<> FrontDoor::drain() {
-  const TimePoint begun = Clock::now();
-  Duration longest{0};
-  for (const ClassSettings& c : config_.named.settings.classes) longest = std::max(longest, c.deadline);
-  latest_ = to_time(begun) + std::min(longest, kLongestCounted) + kAnsweredAfterTerm;
-  draining_ = true;
-  runtime::Wait accepting(scheduler_), keeping(scheduler_);
-  accepting.until(begun + kAcceptAfterTerm);
-  co_await accepting;
-  closing_ = true;
-  keeping.until(to_point(latest_ - kLastTaken));
-  co_await keeping;
-  parting_ = true;
-  while (!sockets_.empty()) {
-    for (FrontSocket* socket : sockets_)
-      if (socket->phase() == FrontSocket::Phase::kKept || socket->phase() == FrontSocket::Phase::kSilent)
-        socket->ask_to_close(EndReason::kDraining);
-    runtime::Wait pause(scheduler_);
-    pause.until(Clock::now() + kAcceptPause);
-    co_await pause;
+Task<> FrontDoor::tend() {
+  while (!course_.ending() || !sockets_.empty()) {
+    while (!inbox_.empty()) heed(inbox_.take());
+    if (course_.clears(now()))
+      for (FrontSocket* socket : sockets_)
+        if (socket->phase() == FrontSocket::Phase::kKept || socket->phase() == FrontSocket::Phase::kSilent)
+          socket->ask_to_close(EndReason::kDraining);
+    runtime::Wait wait(scheduler_);
+    wait.notified(inbox_.arrived());
+    if (course_.drained() || course_.ending()) wait.until(Clock::now() + kAcceptPause);
+    co_await wait;
+  }
+}
+
+void FrontDoor::heed(const DoorOrder& order) {
+  switch (order.word) {
+    case DoorWord::kEvacuate:
+      if (!course_.drained()) log::info("drained");
+      course_.evacuate(now());
+      break;
+    case DoorWord::kRejoin:
+      if (course_.drained()) log::info("rejoined");
+      course_.rejoin();
+      break;
+    case DoorWord::kEnd:
+      course_.end(now(), false);
+      break;
   }
+  if (order.asked) order.asked->answer(200);
 }
 
 // Strict: nothing doubtful reaches a backend. A header may be absent where a default stands for it; one that
@@ -194,7 +213,7 @@
     wait = std::chrono::milliseconds(std::min(*ms, static_cast<std::uint64_t>(longest)));
   }
   operation->arrived = now();
-  operation->deadline = std::min(operation->arrived + wait, latest_);
+  operation->deadline = std::min(operation->arrived + wait, course_.answer_by());
   if (!ids_.take(*trace, operation->arrived, operation->deadline + kIdKept)) return {409, nullptr};
   operation->payload = std::make_shared<const HttpPayload>(std::move(request));
   return {0, std::move(operation)};
@@ -217,7 +236,6 @@
       slot_(door.budget_),
       remote_(net::to_string(from)),
       stream_(door.scheduler_, std::move(fd)),
-      late_(door.draining_),
       place_(door.sockets_.insert(door.sockets_.end(), this)) {}
 
 FrontSocket::~FrontSocket() {
@@ -305,9 +323,7 @@
   co_return progress == http::Progress::kDone ? Got::kRequest : Got::kBad;
 }
 
-// In a planned end a connection that came after its beginning closes with its first answer, an older one
-// later.
-bool FrontSocket::parts() const { return asked_ || door_.parting_ || (door_.draining_ && late_); }
+bool FrontSocket::parts() const { return asked_ || door_.course_.parts(came_, now()); }
 
 // False: this was the connection's last.
 Task<bool> FrontSocket::answer_request(http::Message& request) {
@@ -323,6 +339,7 @@
     co_return false;
   }
   ++operations_;
+  Telemetry::Open open(door_.telemetry_, target.operation->class_id);
   const std::shared_ptr<Operation> operation = std::move(target.operation);
   DecisionMessage arrival(Arrived{operation});
   if (!door_.decisions_.post(std::move(arrival))) {
@@ -332,18 +349,23 @@
   }
   close = close || parts();
   std::string bytes;
+  Ended how = Ended::kFailed;
   if (const auto* served = std::get_if<Reply>(&*operation->answer)) {
     const std::string type = served->type.empty() ? "" : "Content-Type: " + served->type + "\r\n";
     bytes = http::write_response(200, type, served->body, close);
+    how = Ended::kCompleted;
   } else if (const auto* busy = std::get_if<BusyReply>(&*operation->answer)) {
     const std::string later = busy->retry_after > Duration{0}
                                   ? "Retry-After: " + http::retry_after(busy->retry_after) + "\r\n"
                                   : std::string();
     bytes = http::write_response(503, later, "", close);
+    how = Ended::kRejected;
   } else {
     bytes = http::write_response(502, "", "", close);
   }
-  co_return co_await reply(bytes, close);
+  const bool more = co_await reply(bytes, close);
+  if (reason_ != EndReason::kWriteFailed) open.end(how);
+  co_return more;
 }
 
 // Waits for the operation's answer and for the client's end alike. False: the client has gone.
--- a/src/proxy/front_socket.h
+++ b/src/proxy/front_socket.h
@@ -11,9 +11,11 @@
 #include "config/interner.h"
 #include "http/message.h"
 #include "net/socket.h"
+#include "proxy/door_course.h"
 #include "proxy/fd_budget.h"
 #include "proxy/log.h"
 #include "proxy/operation.h"
+#include "proxy/telemetry.h"
 
 namespace beechhill::proxy {
 
@@ -32,12 +34,15 @@
 
 class FrontDoor {
  public:
-  FrontDoor(runtime::Scheduler& scheduler, DecisionBox& decisions, const config::Config& config,
+  FrontDoor(runtime::Scheduler& scheduler, DecisionBox& decisions, const config::Config& config, Telemetry& telemetry,
             std::size_t descriptors, std::function<bool()> has_list);
 
   sockaddr_in address() const { return listener_->address(); }
-  runtime::Task<> run();    // accepts until drain() has the door closed
-  runtime::Task<> drain();  // a planned end: goes on answering, then returns when nothing is left
+  DoorBox& inbox() { return inbox_; }
+  runtime::Task<> run();   // accepts for as long as the door's course says
+  runtime::Task<> tend();  // follows orders; returns when nothing is left after a planned end
+  // Whether this process takes clients: drained or not, until its planned end.
+  bool serving() const { return has_list_() && !course_.ending(); }
 
  private:
   friend class FrontSocket;
@@ -46,21 +51,23 @@
     std::shared_ptr<Operation> operation;
   };
   Target target_of(http::Message& request);
-  bool ready() const { return !draining_ && has_list_(); }
+  bool ready() const { return course_.ready() && has_list_(); }
   void evict();
+  void heed(const DoorOrder& order);
 
   runtime::Scheduler& scheduler_;
   DecisionBox& decisions_;
   const config::Config& config_;
+  Telemetry& telemetry_;
   config::Interner classes_, tenants_;
   FdBudget budget_;
   std::function<bool()> has_list_;
   std::unique_ptr<net::Listener> listener_;
   OpenIds ids_;
-  std::list<FrontSocket*> sockets_;                            // open ones
-  runtime::Notifier left_;                                     // one of them ended
-  bool draining_ = false, closing_ = false, parting_ = false;  // the stages of a planned end
-  Time latest_ = Time::max();                                  // when the last answer must have been given
+  std::list<FrontSocket*> sockets_;  // open ones
+  runtime::Notifier left_;           // one of them ended
+  DoorBox inbox_;
+  DoorCourse course_;
 };
 
 // One client's connection: one operation at a time, each answered before the next is read.
@@ -99,7 +106,7 @@
   EndReason asked_reason_ = EndReason::kEvicted;
   EndReason reason_ = EndReason::kFault;
   std::uint64_t operations_ = 0;
-  bool late_;  // it came after a planned end had begun
+  const Time came_ = now();
   std::list<FrontSocket*>::iterator place_;
 };
 
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -87,7 +87,28 @@
   Result result = Result::kOk;
   LoadReport report;
 };
-using DecisionMessage = std::variant<Arrived, Left, StepDone, ProbeDone, config::PoolConfig>;
+
+// An operator's question or order. The actor that owns the matter answers by setting `status`, once it is done, and
+// notifying; whoever asked may have gone by then.
+struct Asked {
+  int status = 0;                              // as in HTTP; 0: not done yet
+  std::size_t members = 0, unavailable = 0;  // of a Census
+  runtime::Notifier done;
+  void answer(int with) {
+    status = with;
+    done.notify();
+  }
+};
+struct Exclude {  // leave a backend out, or let it serve again, whatever the list says
+  std::string host;
+  bool out = true;
+  std::shared_ptr<Asked> asked;  // 200, or 404 where no list ever named it; null: nobody waits
+};
+struct Census {  // how many backends are listed, and how many of them are avoided now
+  std::shared_ptr<Asked> asked;
+};
+
+using DecisionMessage = std::variant<Arrived, Left, StepDone, ProbeDone, config::PoolConfig, Exclude, Census>;
 using DecisionBox = runtime::Mailbox<DecisionMessage>;
 
 struct WatchNow {};  // the module wants the list watched: no more pausing
@@ -97,6 +118,13 @@
 using WatchMessage = std::variant<WatchNow, MoveWatch>;
 using WatchBox = runtime::Mailbox<WatchMessage>;
 
+enum class DoorWord { kEvacuate, kRejoin, kEnd };
+struct DoorOrder {
+  DoorWord word = DoorWord::kEnd;
+  std::shared_ptr<Asked> asked;  // null: nobody waits
+};
+using DoorBox = runtime::Mailbox<DoorOrder>;
+
 // A backend as the decision actor sees it, whatever protocol it speaks.
 class Peer {
  public:
--- a/src/proxy/peer_actor.cpp
+++ b/src/proxy/peer_actor.cpp
@@ -267,6 +267,7 @@
     connection->reason = EndReason::kReset;
     co_return got;
   }
+  if (!payload.id().empty()) pool_.telemetry.attempt_written();  // a probe is no attempt
   bool reusable = false;
   got = co_await receive(*connection, payload.id(), deadline, reusable);
   if (reusable && status_.state == ServerState::kUp) keep_idle(std::move(connection));
--- a/src/proxy/peer_actor.h
+++ b/src/proxy/peer_actor.h
@@ -12,6 +12,7 @@
 #include "proxy/fd_budget.h"
 #include "proxy/log.h"
 #include "proxy/operation.h"
+#include "proxy/telemetry.h"
 
 namespace beechhill::proxy {
 
@@ -19,8 +20,9 @@
 
 // What all peers share: the descriptors they may hold, and each other's idle connections.
 struct PeerPool {
-  explicit PeerPool(std::size_t descriptors) : budget(descriptors) {}
+  PeerPool(std::size_t descriptors, Telemetry& figures) : budget(descriptors), telemetry(figures) {}
   FdBudget budget;
+  Telemetry& telemetry;
   std::vector<PeerActor*> peers;
 };
 
--- a/src/proxy/pool_config_actor.cpp
+++ b/src/proxy/pool_config_actor.cpp
@@ -112,8 +112,7 @@
     if (size == 0 || (size == 1 && *line == '\r')) continue;
     config::PoolConfig pool = config::read_pool_config(config::parse(line, line + size, "pool config"));
     const std::uint64_t version = pool.version;
-    DecisionMessage message(std::move(pool));
-    if (!decisions.post(std::move(message))) return false;  // asked for again with the same version
+    if (!decisions.post(std::move(pool))) return false;  // asked for again with the same version
     version_ = version;
     ++lists;
   }
--- a/src/proxy/serve.cpp
+++ b/src/proxy/serve.cpp
@@ -7,6 +7,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "admin/admin_door.h"
 #include "config/operator_file.h"
 #include "log/log.h"
 #include "proxy/decision_actor.h"
@@ -18,12 +19,11 @@
 namespace beechhill::proxy {
 namespace {
 
-constexpr std::size_t kOtherDescriptors = 32;  // standard streams, epoll, signals, listener, discovery
+constexpr std::size_t kOtherDescriptors = 24;  // standard streams, epoll, signals, listeners, discovery
 constexpr std::size_t kFrontPercent = 55;
 
-runtime::Task<> end_in_order(runtime::Scheduler& scheduler, FrontDoor& door) {
-  log::info("ending");
-  co_await door.drain();
+runtime::Task<> tend(runtime::Scheduler& scheduler, FrontDoor& door) {
+  co_await door.tend();
   log::info("ended");
   scheduler.stop();
 }
@@ -56,7 +56,8 @@
     } else if (info.ssi_signo == SIGHUP) {
       reload(watch, operator_file);
     } else if (!std::exchange(ending, true)) {
-      scheduler.spawn(end_in_order(scheduler, door));
+      log::info("ending");
+      if (!door.inbox().post({DoorWord::kEnd, nullptr})) ending = false, log_lost("end");
     }
   }
 }
@@ -80,21 +81,32 @@
   log::start(settings.log);
 
   runtime::Scheduler scheduler;
-  const std::size_t usable = config.sockets - kOtherDescriptors;
+  const std::size_t usable = config.sockets - kOtherDescriptors - admin::kMostCallers;
   const std::size_t front = usable * kFrontPercent / 100;
-  PeerPool pool(usable - front);
+  Telemetry telemetry(config.named.classes.size());
+  PeerPool pool(usable - front, telemetry);
   const auto make_peer = [&](DecisionBox& inbox, ServerId server, const sockaddr_in& address) {
     return std::make_unique<PeerActor>(scheduler, inbox, pool, config.named.settings, server, address);
   };
   PoolConfigActor pool_config(scheduler, config);
   DecisionActor decisions(scheduler, config, make_peer, pool_config.inbox(), settings.subset);
-  FrontDoor door(scheduler, decisions.inbox(), config, front, [&] { return decisions.has_list(); });
+  FrontDoor door(scheduler, decisions.inbox(), config, telemetry, front, [&] { return decisions.has_list(); });
   scheduler.spawn(decisions.run());
   scheduler.spawn(pool_config.run(decisions.inbox()));
   scheduler.spawn(door.run());
+  scheduler.spawn(tend(scheduler, door));
+  std::optional<admin::AdminDoor> operators;
+  if (config.admin) {
+    operators.emplace(scheduler, *config.admin, decisions.inbox(), door.inbox(), telemetry, config.named.classes,
+                      [&] { return door.serving(); });
+    scheduler.spawn(operators->run());
+  }
   scheduler.spawn(heed_signals(scheduler, std::move(signals), door, pool_config.inbox(), operator_file));
   const std::string address = net::to_string(door.address());
-  log::info("serving", {{"address", std::string_view(address)}, {"name", std::string_view(config.name)}});
+  const std::string admin = operators ? net::to_string(operators->address()) : "none";
+  log::info("serving", {{"address", std::string_view(address)},
+                        {"name", std::string_view(config.name)},
+                        {"admin", std::string_view(admin)}});
   scheduler.run();
 }
 
--- a/src/state.h
+++ b/src/state.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "beechhill/balancer.h"
@@ -97,6 +98,8 @@
 struct Server {
   ServerEntry entry;
   bool listed = false, gone = false;  // gone: left the list, and has not come back
+  bool barred = false;                // by an operator
+  std::optional<Time> back;           // when an operator last let it serve again: it may have restarted, told late
   Evidence own;
   std::vector<Tally> tallies;  // by class
   int open = 0;
@@ -107,6 +110,19 @@
   Time waiting_since{0};  // last sign of life, or when its first open attempt was sent
   Time full_until{0}, probed_at{0};
   Bucket budget;  // while cold, of calls it may be sent from here
+
+  // What was known of its former life is void; what is still out, its rank and an operator's word are not.
+  void start_anew(Time now, double new_turn, double tokens) {
+    const Server former = std::exchange(*this, Server{});
+    tallies.resize(former.tallies.size());
+    open = former.open;
+    order = former.order;
+    barred = former.barred;
+    back = former.back;
+    turn = new_turn;
+    waiting_since = now;
+    budget = {tokens, now};
+  }
 };
 
 }  // namespace beechhill
--- a/tests/proxy_rules.cpp
+++ b/tests/proxy_rules.cpp
@@ -17,8 +17,6 @@
 }
 std::string one_host(const Door& backend) { return "[" + host_json("s-1", backend.address()) + "]"; }
 
-void expect_status(Wire& client, int status) { assert(client.answer().status == status); }
-
 // What a client asked reaches a backend unchanged, and so does the body on its way back; twice on one
 // connection.
 void serves_unchanged() {
--- a/tests/proxy_test.h
+++ b/tests/proxy_test.h
@@ -89,6 +89,8 @@
   net::Fd fd_;
 };
 
+inline void expect_status(Wire& client, int status) { assert(client.answer().status == status); }
+
 class Door {  // where a backend or discovery listens
  public:
   Door() : fd_(::socket(AF_INET, SOCK_STREAM, 0)) {
@@ -151,6 +153,12 @@
     signal(SIGHUP);
   }
   Wire client() const { return Wire::to(address_); }
+  Wire caller() const { return Wire::to(admin_); }
+  http::Message call(const std::string& method, const std::string& target) const {  // an operator's
+    Wire wire = caller();
+    wire.send(method + " " + target + " HTTP/1.1\r\nHost: op\r\n\r\n");
+    return wire.answer();
+  }
   static std::string get(const std::string& id, int ms = 3000, const std::string& extra = "") {
     return "GET /ver/x?user=1 HTTP/1.1\r\nX-Trace-Id: " + id +
            "\r\nX-Customer: telnorte\r\nX-Expires-In-Ms: " + std::to_string(ms) + "\r\n" + extra + "\r\n";
@@ -189,6 +197,7 @@
       ::setenv("GW_CONFIG", path, 1);
       for (const char* name : {"GW_NAME", "GW_LISTEN"}) ::unsetenv(name);
       ::setenv("GW_DISCOVERY", discovery_.address().c_str(), 1);
+      ::setenv("GW_ADMIN_ADDR", "127.0.0.1:0", 1);
       ::execl(PROXY_PROGRAM, PROXY_PROGRAM, nullptr);
       ::_exit(127);
     }
@@ -196,8 +205,12 @@
     log_ = net::Fd(out[0]);
     std::string line;
     for (char c = 0; c != '\n'; line += c) assert(::read(out[0], &c, 1) == 1);
-    const auto from = line.find("127.0.0.1:");
-    address_ = *net::parse_address(line.substr(from, line.find(' ', from) - from));
+    const auto address = [&line](const std::string& field) {
+      const auto from = line.find(field) + field.size();
+      return *net::parse_address(line.substr(from, line.find_first_of(" \n", from) - from));
+    };
+    address_ = address("address=");
+    admin_ = address("admin=");
   }
   void wait_ready() const {
     const auto end = Clock::now() + kPatience;
@@ -208,7 +221,7 @@
   net::Fd log_;
   std::string path_;
   pid_t pid_ = 0;
-  sockaddr_in address_{};
+  sockaddr_in address_{}, admin_{};
   Wire watch_;
   int version_ = 1;
 };
