Hand clients over in an upgrade: one listening socket, bans and drain shared in TMPDIR

Change: GW_FD's socket is listened on (never shut down; made non-blocking, one flag for all holders), and clients wait in its backlog until the process holds a list. src/handover keeps the state in TMPDIR: one file, replaced by rename under a lock, each order applied to the file as it stands; a file locked by each process for life says who is there and whether it takes clients. With a live successor SIGTERM stops accepting at once and parts at each next answer. Descriptors: each process takes what the others do not hold.

Ways not taken: a Unix socket between the two (nothing is left when one is killed, and a protocol to keep compatible); a guess by time whether there is a successor; SO_REUSEPORT (clients in the old one's queue are lost).

Found: SIGTERM came 20 ms after the yes, before the old process had looked: it ended as if alone. The yes now waits until the others can know. After a ban the list's start counts where it tells one since; before, 7 s old servers counted as just back.

Next: hand the learned state over.

--- a/src/admin/admin_door.cpp
+++ b/src/admin/admin_door.cpp
@@ -28,11 +28,11 @@
 }  // namespace
 
 AdminDoor::AdminDoor(runtime::Scheduler& scheduler, const sockaddr_in& address, proxy::DecisionBox& decisions,
-                     proxy::DoorBox& door, const proxy::Telemetry& telemetry, const std::vector<std::string>& classes,
-                     std::function<bool()> serving)
+                     handover::OrderBox& orders, const proxy::Telemetry& telemetry,
+                     const std::vector<std::string>& classes, std::function<bool()> serving)
     : scheduler_(scheduler),
       decisions_(decisions),
-      door_(door),
+      orders_(orders),
       telemetry_(telemetry),
       classes_(classes),
       serving_(std::move(serving)),
@@ -118,34 +118,25 @@
 }
 
 Task<std::string> AdminDoor::answer_to(const std::string& method, const std::string& target) {
+  using handover::Change;
   const Call call = read_call(method, target);
   int status = call.error;
-  const auto asked = std::make_shared<Asked>();
-  bool posted = true;
-  if (call.error == 0) {
-    switch (call.what) {
-      case What::kReady:
-        status = serving_() ? 200 : 503;
-        break;
-      case What::kTelemetry: {
-        std::string answer = co_await figures();
-        co_return answer;
-      }
-      case What::kExclude:
-      case What::kInclude:
-        posted = decisions_.post(proxy::Exclude{call.target, call.what == What::kExclude, asked});
-        break;
-      case What::kEvacuate:
-        posted = door_.post({proxy::DoorWord::kEvacuate, asked});
-        break;
-      case What::kRejoin:
-        posted = door_.post({proxy::DoorWord::kRejoin, asked});
-        break;
-    }
-    if (!posted) status = 503;
-    if (status == 0) status = co_await done(asked);
-    if (call.what != What::kReady)
-      log::info("operator", {{"call", std::string_view(target)}, {"status", static_cast<std::int64_t>(status)}});
+  if (status == 0 && call.what == What::kTelemetry) {
+    std::string answer = co_await figures();
+    co_return answer;
+  }
+  if (status == 0 && call.what == What::kReady) {
+    status = serving_() ? 200 : 503;
+  } else if (status == 0) {
+    const auto asked = std::make_shared<Asked>();
+    handover::Order order{call.what == What::kExclude    ? Change::kExclude
+                          : call.what == What::kInclude  ? Change::kInclude
+                          : call.what == What::kEvacuate ? Change::kEvacuate
+                                                         : Change::kRejoin,
+                          call.target, asked};
+    status = 503;
+    if (orders_.post(std::move(order))) status = co_await done(asked);
+    log::info("operator", {{"call", std::string_view(target)}, {"status", static_cast<std::int64_t>(status)}});
   }
   std::string answer = http::write_response(status, "", "", true);
   co_return answer;
--- a/src/admin/admin_door.h
+++ b/src/admin/admin_door.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "admin/call.h"
+#include "handover/handover_actor.h"
 #include "net/socket.h"
 #include "proxy/operation.h"
 #include "proxy/telemetry.h"
@@ -22,7 +23,7 @@
   // What is referred to must outlive the door. `classes` names them by ClassId; `serving` says whether this process takes
   // clients. Throws std::system_error where the address cannot be listened on.
   AdminDoor(runtime::Scheduler& scheduler, const sockaddr_in& address, proxy::DecisionBox& decisions,
-            proxy::DoorBox& door, const proxy::Telemetry& telemetry, const std::vector<std::string>& classes,
+            handover::OrderBox& orders, const proxy::Telemetry& telemetry, const std::vector<std::string>& classes,
             std::function<bool()> serving);
 
   sockaddr_in address() const { return listener_.address(); }
@@ -47,7 +48,7 @@
 
   runtime::Scheduler& scheduler_;
   proxy::DecisionBox& decisions_;
-  proxy::DoorBox& door_;
+  handover::OrderBox& orders_;
   const proxy::Telemetry& telemetry_;
   const std::vector<std::string>& classes_;
   std::function<bool()> serving_;
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -591,6 +591,7 @@
       if (reborn || (s.gone && e.state != ServerState::kRemoved)) restarted(s);
       s.entry = e;
       if (kinds_.size() <= e.kind) kinds_.resize(e.kind + 1);
+      if (e.born >= s.barred_at) s.back.reset();  // the start after the ban is told
       s.listed = e.state != ServerState::kRemoved;
       s.gone = s.gone || !s.listed;
       if (!whole) rank(e.server);
@@ -624,8 +625,10 @@
     if (s.barred && !b.barred) {  // it was out of use, and may have been started anew: what was known is void
       const Server former = s;
       restarted(s);
-      s.entry = former.entry, s.listed = former.listed, s.gone = former.gone, s.back = now_;
+      s.entry = former.entry, s.listed = former.listed, s.gone = former.gone;
+      if (s.entry.born < s.barred_at) s.back = now_;  // no start since is told: it may have been just now
     }
+    if (b.barred && !std::exchange(s.barred, b.barred)) s.barred_at = now_;
     s.barred = b.barred;
     rank(b.server);
     if (!forsaken()) return;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,6 +1,7 @@
 #include "config/config.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cstdlib>
 #include <fstream>
 #include <initializer_list>
@@ -106,8 +107,17 @@
 }  // namespace
 
 Config load_config() {
-  return load({{"GW_NAME", "name"}, {"GW_LISTEN", "listen"}, {"GW_DISCOVERY", "discovery"},
-               {"GW_ADMIN_ADDR", "admin_addr"}});
+  Config c = load({{"GW_NAME", "name"}, {"GW_LISTEN", "listen"}, {"GW_DISCOVERY", "discovery"},
+                   {"GW_ADMIN_ADDR", "admin_addr"}});
+  if (const char* text = std::getenv("GW_FD")) {
+    int fd = -1;
+    const char* const end = text + std::char_traits<char>::length(text);
+    const auto [stop, error] = std::from_chars(text, end, fd);
+    if (error != std::errc{} || stop != end || fd < 0) fault("GW_FD", std::string("not a descriptor: ") + text);
+    c.inherited = fd;
+    if (const char* folder = std::getenv("TMPDIR")) c.shared_folder = folder;
+  }
+  return c;
 }
 Config reload_config() {
   return load({{"GW_NAME", "name"}, {"GW_LISTEN", "listen"}, {"GW_ADMIN_ADDR", "admin_addr"}});
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -1,6 +1,7 @@
 #include "net/socket.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -8,6 +9,7 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <stdexcept>
 #include <system_error>
 
 namespace beechhill::net {
@@ -170,7 +172,29 @@
 Listener::Listener(runtime::Scheduler& scheduler, const sockaddr_in& address)
     : scheduler_(scheduler), fd_(listening(address)), io_(scheduler, fd_.get()) {}
 
-Task<Io> Listener::accept(TimePoint deadline, Fd& taken, sockaddr_in& from) {
+namespace {
+
+Fd checked(Fd fd) {
+  int listens = 0, protocol = 0;
+  sockaddr_in address{};
+  socklen_t size = sizeof listens, protocol_size = sizeof protocol, address_size = sizeof address;
+  const bool tcp = ::getsockopt(fd.get(), SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) == 0 && listens != 0 &&
+                   ::getsockopt(fd.get(), SOL_SOCKET, SO_PROTOCOL, &protocol, &protocol_size) == 0 &&
+                   protocol == IPPROTO_TCP &&
+                   ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&address), &address_size) == 0 &&
+                   address.sin_family == AF_INET;
+  const int flags = tcp ? ::fcntl(fd.get(), F_GETFL) : -1;
+  if (flags < 0 || ::fcntl(fd.get(), F_SETFL, flags | O_NONBLOCK) < 0)
+    throw std::invalid_argument("GW_FD: not a listening IPv4 TCP socket");
+  return fd;
+}
+
+}  // namespace
+
+Listener::Listener(runtime::Scheduler& scheduler, Fd listening)
+    : scheduler_(scheduler), fd_(checked(std::move(listening))), io_(scheduler, fd_.get()) {}
+
+Task<Io> Listener::accept(TimePoint deadline, Fd& taken, sockaddr_in& from, runtime::Notifier* notifier) {
   for (;;) {
     socklen_t size = sizeof from;
     taken = Fd(::accept4(fd_.get(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC));
@@ -180,7 +204,10 @@
     if (!would_block()) co_return Io::kError;
     Wait wait(scheduler_);
     wait.readable(io_).until(deadline);
-    if (co_await wait == Wake::kTime) co_return Io::kTimeout;
+    if (notifier) wait.notified(*notifier);
+    const Wake wake = co_await wait;
+    if (wake == Wake::kTime) co_return Io::kTimeout;
+    if (wake == Wake::kNotified) co_return Io::kNotified;
   }
 }
 
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -71,8 +71,13 @@
 class Listener {
  public:
   Listener(runtime::Scheduler& scheduler, const sockaddr_in& address);  // throws std::system_error
-  // The next connection. kError: one is there and could not be taken now, descriptors being short.
-  runtime::Task<Io> accept(runtime::TimePoint deadline, Fd& taken, sockaddr_in& from);
+  // On a socket that listens already and that other processes hold too: it is made non-blocking, for all of them as there
+  // is one flag, and never shut down. Throws std::invalid_argument where it is no listening TCP socket.
+  Listener(runtime::Scheduler& scheduler, Fd listening);
+  // The next connection. kError: one is there and could not be taken now, descriptors being short. kNotified: by
+  // `notifier`, if given.
+  runtime::Task<Io> accept(runtime::TimePoint deadline, Fd& taken, sockaddr_in& from,
+                           runtime::Notifier* notifier = nullptr);
   sockaddr_in address() const;
 
  private:
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -15,11 +15,13 @@
 }  // namespace
 
 DecisionActor::DecisionActor(runtime::Scheduler& scheduler, const config::Config& config,
-                             PeerFactory make_peer, WatchBox& watch, const routing::SubsetSettings& subset)
+                             PeerFactory make_peer, WatchBox& watch, const routing::SubsetSettings& subset,
+                             std::set<std::string> barred)
     : scheduler_(scheduler),
       make_peer_(std::move(make_peer)),
       watch_(watch),
       inbox_(kInboxCapacity),
+      barred_(std::move(barred)),
       most_tries_(config.named.settings.most_tries),
       unix_offset_(std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch()) -
                    now()),
@@ -167,7 +169,7 @@
 // ---- Discovery, probes, timers
 
 void DecisionActor::on(config::PoolConfig& pool) {
-  has_list_ = true;
+  has_list_ = heard_ = true;
   take_list(pool, pool.whole ? ListKind::kFull : ListKind::kChanges);
 }
 
@@ -234,7 +236,7 @@
 
 // Bans by hand belong to an id, whether a list names it now or not.
 void DecisionActor::on(Exclude& order) {
-  const bool known = ever_listed(order.host);
+  const bool known = !order.asked || ever_listed(order.host);  // another process of this proxy knew it
   if (known) {
     const bool changed = order.out ? barred_.insert(order.host).second : barred_.erase(order.host) > 0;
     const auto server = servers_.known(order.host);
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -22,11 +22,13 @@
   using PeerFactory = std::function<std::unique_ptr<Peer>(DecisionBox&, ServerId, const sockaddr_in&)>;
 
   // `watch` is where the module's orders to watch discovery go. With `subset.nodes` 0 the module hears of every node.
+  // `barred`: ids that operators had left out when this process started.
   DecisionActor(runtime::Scheduler& scheduler, const config::Config& config, PeerFactory make_peer, WatchBox& watch,
-                const routing::SubsetSettings& subset = {});
+                const routing::SubsetSettings& subset = {}, std::set<std::string> barred = {});
 
   DecisionBox& inbox() { return inbox_; }
   bool has_list() const { return has_list_; }
+  bool heard() const { return heard_; }  // from discovery, since the start
   runtime::Task<> run();
 
  private:
@@ -79,12 +81,12 @@
   WatchBox& watch_;
   std::optional<routing::SubsetView> subset_;
   DecisionBox inbox_;
+  std::set<std::string> barred_;  // left out by hand, by id: a ban outlasts what the list says
   std::uint32_t most_tries_;
   Time unix_offset_;  // Unix time less the module's clock
-  bool has_list_ = false;
+  bool has_list_ = false, heard_ = false;
   config::Interner servers_, zones_, kinds_;
   std::vector<Backend> backends_;  // by ServerId
-  std::set<std::string> barred_;   // left out by hand, by id: a ban outlasts what the list says
   std::unordered_set<std::string> gone_;  // ids that a list once named, kMostGone of them at the most
   std::deque<std::string> gone_order_;    // the longest gone first
   std::unordered_map<RequestId, Entry> entries_;
--- a/src/proxy/fd_budget.h
+++ b/src/proxy/fd_budget.h
@@ -9,6 +9,9 @@
  public:
   explicit FdBudget(std::size_t limit) : limit_(limit) {}
   bool room() const { return used_ < limit_; }
+  std::size_t used() const { return used_; }
+  // Under what is used: there is no room until so many have gone.
+  void set_limit(std::size_t limit) { limit_ = limit; }
 
   class Slot {  // one descriptor's place, for as long as this lives
    public:
--- a/src/proxy/front_socket.cpp
+++ b/src/proxy/front_socket.cpp
@@ -24,7 +24,7 @@
 constexpr auto kKeptAge = 250ms;           // the same, while there may be silent ones: between requests
 constexpr auto kHalfSpokenAge = 500ms;     // the same, for the rest of its request
 constexpr auto kWriteLimit = 5s;           // for a client to take its answer
-constexpr auto kLingerLimit = 1s;          // for a client to close after the last answer
+constexpr Duration kLingerLimit = 1s;        // for a client to close after the last answer
 constexpr auto kAcceptPause = 20ms;        // when descriptors are short
 constexpr auto kAcceptCheck = 200ms;       // how often the door looks whether it is to close
 constexpr std::size_t kInboxCapacity = 32;
@@ -67,16 +67,18 @@
 }  // namespace
 
 FrontDoor::FrontDoor(runtime::Scheduler& scheduler, DecisionBox& decisions, const config::Config& config,
-                     Telemetry& telemetry, std::size_t descriptors, std::function<bool()> has_list)
+                     Telemetry& telemetry, std::size_t descriptors, std::function<bool()> has_list, bool drained)
     : scheduler_(scheduler),
       decisions_(decisions),
       config_(config),
       telemetry_(telemetry),
       budget_(descriptors),
       has_list_(std::move(has_list)),
-      listener_(std::make_unique<net::Listener>(scheduler, config.listen)),
+      listener_(config.inherited ? std::make_unique<net::Listener>(scheduler, net::Fd(*config.inherited))
+                                 : std::make_unique<net::Listener>(scheduler, config.listen)),
       inbox_(kInboxCapacity),
       course_(longest_deadline(config)) {
+  if (drained) course_.evacuate(now());
   for (const auto& name : config.named.classes) classes_.id(name);
   for (const auto& name : config.named.tenants) tenants_.id(name);
 }
@@ -93,6 +95,13 @@
 }  // namespace
 
 Task<> FrontDoor::run() {
+  // A shared socket's clients wait for whoever can serve them.
+  while (config_.inherited && !has_list_() && !course_.ending()) {
+    runtime::Wait wait(scheduler_);
+    wait.until(Clock::now() + kAcceptPause);
+    co_await wait;
+  }
+  accepting_ = true;
   for (std::size_t taken = 1; course_.accepts(now()); ++taken) {
     if (taken % kAcceptTurn == 0 || !budget_.room()) {  // those taken have spoken, if ever, after their turn
       runtime::Wait others(scheduler_);
@@ -109,7 +118,7 @@
     }
     sockaddr_in from{};
     net::Fd fd;
-    const Io io = co_await listener_->accept(Clock::now() + kAcceptCheck, fd, from);
+    const Io io = co_await listener_->accept(Clock::now() + kAcceptCheck, fd, from, &turned_);
     if (io == Io::kOk) {
       try {
         scheduler_.spawn(serve_and_free(std::make_unique<FrontSocket>(*this, std::move(fd), from)));
@@ -151,7 +160,7 @@
 }
 
 Task<> FrontDoor::tend() {
-  while (!course_.ending() || !sockets_.empty()) {
+  while (course_.accepts(now()) || !sockets_.empty()) {
     while (!inbox_.empty()) heed(inbox_.take());
     if (course_.clears(now()))
       for (FrontSocket* socket : sockets_)
@@ -175,7 +184,8 @@
       course_.rejoin();
       break;
     case DoorWord::kEnd:
-      course_.end(now(), false);
+      course_.end(now(), order.succeeded);
+      turned_.notify();
       break;
   }
   if (order.asked) order.asked->answer(200);
@@ -276,7 +286,7 @@
   enter(Phase::kLingering);
   // Guards against a reset that destroys an answer still on its way.
   if (!asked_ || asked_reason_ != EndReason::kEvicted)
-    co_await stream_.linger(Clock::now() + kLingerLimit, wake_);
+    co_await stream_.linger(to_point(std::min(now() + kLingerLimit, door_.course_.answer_by())), wake_);
 }
 
 Task<> FrontSocket::turn_away(int status, EndReason reason) {
--- a/src/proxy/front_socket.h
+++ b/src/proxy/front_socket.h
@@ -35,14 +35,15 @@
 class FrontDoor {
  public:
   FrontDoor(runtime::Scheduler& scheduler, DecisionBox& decisions, const config::Config& config, Telemetry& telemetry,
-            std::size_t descriptors, std::function<bool()> has_list);
+            std::size_t descriptors, std::function<bool()> has_list, bool drained = false);
 
   sockaddr_in address() const { return listener_->address(); }
   DoorBox& inbox() { return inbox_; }
   runtime::Task<> run();   // accepts for as long as the door's course says
   runtime::Task<> tend();  // follows orders; returns when nothing is left after a planned end
   // Whether this process takes clients: drained or not, until its planned end.
-  bool serving() const { return has_list_() && !course_.ending(); }
+  bool serving() const { return accepting_ && has_list_() && !course_.ending(); }
+  FdBudget& budget() { return budget_; }
 
  private:
   friend class FrontSocket;
@@ -68,6 +69,8 @@
   runtime::Notifier left_;           // one of them ended
   DoorBox inbox_;
   DoorCourse course_;
+  runtime::Notifier turned_;  // the course has
+  bool accepting_ = false;
 };
 
 // One client's connection: one operation at a time, each answered before the next is read.
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -102,7 +102,7 @@
 struct Exclude {  // leave a backend out, or let it serve again, whatever the list says
   std::string host;
   bool out = true;
-  std::shared_ptr<Asked> asked;  // 200, or 404 where no list ever named it; null: nobody waits
+  std::shared_ptr<Asked> asked;  // 200, or 404 where no list ever named it; null: another process had it done
 };
 struct Census {  // how many backends are listed, and how many of them are avoided now
   std::shared_ptr<Asked> asked;
@@ -121,6 +121,7 @@
 enum class DoorWord { kEvacuate, kRejoin, kEnd };
 struct DoorOrder {
   DoorWord word = DoorWord::kEnd;
+  bool succeeded = false;  // with kEnd: another process takes the clients
   std::shared_ptr<Asked> asked;  // null: nobody waits
 };
 using DoorBox = runtime::Mailbox<DoorOrder>;
--- a/src/proxy/serve.cpp
+++ b/src/proxy/serve.cpp
@@ -3,13 +3,17 @@
 #include <sys/signalfd.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
+#include <memory>
+#include <optional>
 #include <stdexcept>
 #include <utility>
 
 #include "admin/admin_door.h"
 #include "config/operator_file.h"
 #include "log/log.h"
+#include "handover/handover_actor.h"
 #include "proxy/decision_actor.h"
 #include "proxy/front_socket.h"
 #include "proxy/log.h"
@@ -21,6 +25,38 @@
 
 constexpr std::size_t kOtherDescriptors = 24;  // standard streams, epoll, signals, listeners, discovery
 constexpr std::size_t kFrontPercent = 55;
+constexpr std::size_t kLeastShare = 4;  // of all descriptors, one part is a process's own whatever the others hold
+constexpr std::size_t kMargin = 10;     // one part stays free beside another process: both grow between two looks
+constexpr auto kHearDiscovery = std::chrono::milliseconds(1500);
+
+// How the descriptors for connections are divided.
+class Shares {
+ public:
+  explicit Shares(std::size_t usable) : usable_(usable) {}
+  std::size_t front() const { return usable_ * kFrontPercent / 100; }
+  std::size_t peers() const { return usable_ - front(); }
+  // What is left beside the proxy's other processes: together they hold no more than one may.
+  std::size_t beside(const handover::Folder::Others& others) const {
+    if (others.alive == 0) return usable_;
+    const std::size_t taken = others.descriptors + usable_ / kMargin;
+    return std::max(usable_ / kLeastShare, usable_ > taken ? usable_ - taken : 0);
+  }
+
+ private:
+  std::size_t usable_;
+};
+
+// Null where no other process can share with this one; the service goes on without.
+std::unique_ptr<handover::Folder> join(const config::Config& config) {
+  if (!config.inherited) return nullptr;
+  try {
+    if (config.shared_folder.empty()) throw std::runtime_error("TMPDIR: not set");
+    return std::make_unique<handover::Folder>(config.shared_folder, config.name);
+  } catch (const std::exception& error) {
+    log_fault("handover_off", error);
+    return nullptr;
+  }
+}
 
 runtime::Task<> tend(runtime::Scheduler& scheduler, FrontDoor& door) {
   co_await door.tend();
@@ -44,7 +80,7 @@
 }
 
 runtime::Task<> heed_signals(runtime::Scheduler& scheduler, net::Fd signals, FrontDoor& door,
-                             WatchBox& watch, const std::string& operator_file) {
+                             handover::HandoverActor& handover, WatchBox& watch, const std::string& operator_file) {
   runtime::IoSource io(scheduler, signals.get());
   bool ending = false;
   for (;;) {
@@ -56,8 +92,9 @@
     } else if (info.ssi_signo == SIGHUP) {
       reload(watch, operator_file);
     } else if (!std::exchange(ending, true)) {
-      log::info("ending");
-      if (!door.inbox().post({DoorWord::kEnd, nullptr})) ending = false, log_lost("end");
+      const bool succeeded = handover.succeeded();
+      log::info("ending", {{"succeeded", succeeded}});
+      if (!door.inbox().post({DoorWord::kEnd, succeeded, nullptr})) ending = false, log_lost("end");
     }
   }
 }
@@ -80,28 +117,46 @@
   const config::OperatorSettings settings = config::load_operator(operator_file);
   log::start(settings.log);
 
+  std::unique_ptr<handover::Folder> folder = join(config);
+
   runtime::Scheduler scheduler;
-  const std::size_t usable = config.sockets - kOtherDescriptors - admin::kMostCallers;
-  const std::size_t front = usable * kFrontPercent / 100;
+  const Shares shares(config.sockets - kOtherDescriptors - admin::kMostCallers);
   Telemetry telemetry(config.named.classes.size());
-  PeerPool pool(usable - front, telemetry);
+  PeerPool pool(shares.peers(), telemetry);
   const auto make_peer = [&](DecisionBox& inbox, ServerId server, const sockaddr_in& address) {
     return std::make_unique<PeerActor>(scheduler, inbox, pool, config.named.settings, server, address);
   };
   PoolConfigActor pool_config(scheduler, config);
-  DecisionActor decisions(scheduler, config, make_peer, pool_config.inbox(), settings.subset);
-  FrontDoor door(scheduler, decisions.inbox(), config, telemetry, front, [&] { return decisions.has_list(); });
+  const handover::SharedState before = folder ? folder->state() : handover::SharedState{};
+  DecisionActor decisions(scheduler, config, make_peer, pool_config.inbox(), settings.subset, before.barred);
+  // What the list last held says may be old: with another process there to serve, discovery is heard first.
+  const runtime::TimePoint patience = runtime::Clock::now() + kHearDiscovery;
+  const bool patient = folder && folder->others().alive > 0;
+  const auto has_list = [&] {
+    return decisions.has_list() && (!patient || decisions.heard() || runtime::Clock::now() >= patience);
+  };
+  FrontDoor door(scheduler, decisions.inbox(), config, telemetry, shares.front(), has_list, before.drained);
+  const auto look = [&](const handover::Folder::Others& others) {
+    const Shares now(shares.beside(others));
+    door.budget().set_limit(now.front());
+    pool.budget.set_limit(now.peers());
+    const std::size_t held = door.budget().used() + pool.budget.used() + kOtherDescriptors + admin::kMostCallers;
+    return handover::HandoverActor::Own{door.serving(), static_cast<std::uint32_t>(held)};
+  };
+  handover::HandoverActor handover(scheduler, std::move(folder), decisions.inbox(), door.inbox(), look);
+  scheduler.spawn(handover.run());
   scheduler.spawn(decisions.run());
   scheduler.spawn(pool_config.run(decisions.inbox()));
   scheduler.spawn(door.run());
   scheduler.spawn(tend(scheduler, door));
   std::optional<admin::AdminDoor> operators;
   if (config.admin) {
-    operators.emplace(scheduler, *config.admin, decisions.inbox(), door.inbox(), telemetry, config.named.classes,
-                      [&] { return door.serving(); });
+    operators.emplace(scheduler, *config.admin, decisions.inbox(), handover.inbox(), telemetry, config.named.classes,
+                      [&] { return door.serving() && handover.told_ready(); });
     scheduler.spawn(operators->run());
   }
-  scheduler.spawn(heed_signals(scheduler, std::move(signals), door, pool_config.inbox(), operator_file));
+  scheduler.spawn(
+      heed_signals(scheduler, std::move(signals), door, handover, pool_config.inbox(), operator_file));
   const std::string address = net::to_string(door.address());
   const std::string admin = operators ? net::to_string(operators->address()) : "none";
   log::info("serving", {{"address", std::string_view(address)},
--- a/src/state.h
+++ b/src/state.h
@@ -99,7 +99,8 @@
   ServerEntry entry;
   bool listed = false, gone = false;  // gone: left the list, and has not come back
   bool barred = false;                // by an operator
-  std::optional<Time> back;           // when an operator last let it serve again: it may have restarted, told late
+  std::optional<Time> barred_at;      // when an operator last left it out
+  std::optional<Time> back;           // since then let serve again: it may have restarted, and the list not say so yet
   Evidence own;
   std::vector<Tally> tallies;  // by class
   int open = 0;
@@ -118,6 +119,7 @@
     open = former.open;
     order = former.order;
     barred = former.barred;
+    barred_at = former.barred_at;
     back = former.back;
     turn = new_turn;
     waiting_since = now;
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -549,5 +549,74 @@
     }
 }
 
+// How many of `n` calls, one each 10 ms and each answered at once, a server gets.
+inline std::size_t share_of(Driver& d, ServerId server, RequestId from, int n) {
+  std::size_t got = 0;
+  for (int i = 0; i < n; ++i) {
+    const std::size_t before = d.sends.size();
+    d.request(from + i);
+    for (std::size_t k = before; k < d.sends.size(); ++k) got += d.sends[k].server == server;
+    d.pass(milliseconds(10));
+    d.outcome(from + i, 0, Result::kOk);
+  }
+  return got;
+}
+
+TEST(Barred, GetsNothingWhateverTheListSays) {
+  Driver d;
+  d.give(Barred{1, true});  // before any list
+  d.servers(3);
+  EXPECT_EQ(share_of(d, 1, 100, 60), 0u);
+  d.change({1, ServerState::kRemoved, 0, 0, {}});
+  d.change({1, ServerState::kUp, 0, 0, d.now});
+  d.servers(3);
+  EXPECT_EQ(share_of(d, 1, 200, 60), 0u);
+}
+
+// Back from a ban it may have been started anew, and the list may tell that late: it is spared, yet soon in use.
+TEST(Barred, ComesBackColdUnlessItsStartIsTold) {
+  for (const bool told : {false, true}) {
+    Driver d;
+    d.servers(3);
+    share_of(d, 1, 100, 300);
+    d.give(Barred{1, true});
+    const Time restarted = d.now + milliseconds(100);
+    share_of(d, 1, 1000, 900);  // 9 s, most of the cold span
+    if (told) d.change({1, ServerState::kUp, 0, 0, restarted});
+    d.give(Barred{1, false});
+    const std::size_t got = share_of(d, 1, 5000, 200);
+    EXPECT_GE(got, 2u);
+    EXPECT_EQ(got > 40, told);
+  }
+}
+
+TEST(Barred, WithAllLeftOutCallsAreRefusedAtOnceWithAdvice) {
+  Settings s = basic_settings();
+  s.max_retry_after = milliseconds(1500);
+  Driver d(s);
+  d.servers(2);
+  d.give(Barred{0, true});
+  d.give(Barred{1, true});
+  const auto actions = d.request(1);
+  ASSERT_EQ(count<Refuse>(actions), 1u);
+  EXPECT_GT(std::get<Refuse>(actions[0]).retry_after, Duration{0});
+  d.give(Barred{0, false});
+  d.pass(milliseconds(1500));
+  EXPECT_EQ(count<Send>(d.request(2)), 1u);
+}
+
+// A fleet of cold servers alone is not left without any calls.
+TEST(Barred, AColdServerAloneGetsATrickle) {
+  Driver d;
+  d.change({0, ServerState::kUp, 0, 0, d.now});
+  std::size_t sent = 0;
+  for (RequestId id = 1; id <= 10; ++id, d.pass(milliseconds(500))) {
+    d.request(id);
+    if (d.sends.size() > sent) d.outcome(d.sends.back().id, 0, Result::kOk);
+    sent = d.sends.size();
+  }
+  EXPECT_GE(sent, 3u);
+}
+
 }  // namespace
 }  // namespace beechhill::test
--- a/tests/proxy_test.h
+++ b/tests/proxy_test.h
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 #include <string>
 #include <vector>
@@ -51,7 +52,7 @@
  public:
   explicit Wire(net::Fd fd) : fd_(std::move(fd)) {}
   static Wire to(const sockaddr_in& address) {
-    net::Fd fd(::socket(AF_INET, SOCK_STREAM, 0));
+    net::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));  // a program started later must not hold it too
     assert(::connect(fd.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
     return Wire(std::move(fd));
   }
@@ -108,22 +109,36 @@
     pollfd p{fd_.get(), POLLIN, 0};
     return ::poll(&p, 1, static_cast<int>(within.count())) > 0;
   }
+  int fd() const { return fd_.get(); }
   Wire accept() const {
     assert(pending(kPatience));
-    return Wire(net::Fd(::accept(fd_.get(), nullptr, nullptr)));
+    return Wire(net::Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)));
   }
 
  private:
   net::Fd fd_;
 };
 
+// What the processes of one proxy share over an upgrade, held by the platform: here, the test.
+struct Shared {
+  Shared() {
+    char path[] = "/tmp/proxy_shared_XXXXXX";
+    assert(::mkdtemp(path));
+    folder = path;
+  }
+  ~Shared() { std::filesystem::remove_all(folder); }
+  Door socket;
+  std::string folder;
+};
+
 // The program under test, with a discovery that has taken its watch.
 class Proxy {
  public:
-  explicit Proxy(const std::string& hosts, const std::string& known = "[]")
-      : watch_((start(known), discovery_.accept())) {
+  explicit Proxy(const std::string& hosts, const std::string& known = "[]", const Shared* shared = nullptr)
+      : shared_(shared), watch_((start(known), discovery_.accept())) {
     watch_.request();
     watch_.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    if (hosts.empty()) return;  // it hears nothing yet
     list(hosts);
     wait_ready();
   }
@@ -198,13 +213,21 @@
       for (const char* name : {"GW_NAME", "GW_LISTEN"}) ::unsetenv(name);
       ::setenv("GW_DISCOVERY", discovery_.address().c_str(), 1);
       ::setenv("GW_ADMIN_ADDR", "127.0.0.1:0", 1);
+      if (shared_) {
+        ::dup2(shared_->socket.fd(), 3);
+        ::setenv("GW_FD", "3", 1);
+        ::setenv("TMPDIR", shared_->folder.c_str(), 1);
+      }
       ::execl(PROXY_PROGRAM, PROXY_PROGRAM, nullptr);
       ::_exit(127);
     }
     ::close(out[1]);
     log_ = net::Fd(out[0]);
     std::string line;
-    for (char c = 0; c != '\n'; line += c) assert(::read(out[0], &c, 1) == 1);
+    while (!line.starts_with("serving ")) {
+      line.clear();
+      for (char c = 0; c != '\n'; line += c) assert(::read(out[0], &c, 1) == 1);
+    }
     const auto address = [&line](const std::string& field) {
       const auto from = line.find(field) + field.size();
       return *net::parse_address(line.substr(from, line.find_first_of(" \n", from) - from));
@@ -214,9 +237,10 @@
   }
   void wait_ready() const {
     const auto end = Clock::now() + kPatience;
-    while (ready() != 200) assert(Clock::now() < end), ::usleep(5000);
+    while ((shared_ ? call("GET", "/api/ready").status : ready()) != 200) assert(Clock::now() < end), ::usleep(5000);
   }
 
+  const Shared* shared_;
   Door discovery_;
   net::Fd log_;
   std::string path_;
