--- a/include/beechhill/balancer.h
+++ b/include/beechhill/balancer.h
@@ -106,6 +106,7 @@
   TenantId tenant = kNoTenant;
   Time deadline{0};  // when the client abandons this try
   std::optional<Duration> work_hint;
+  bool large = false;  // its body is still coming: how long it takes says nothing of its server
 };
 
 struct FirstByte {
@@ -121,6 +122,7 @@
   Result result = Result::kOk;
   bool final = false;
   LoadReport report;
+  bool spent = false;  // its body has gone out in part and is not kept: it cannot be sent again
 };
 
 struct ClientGone {
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -429,7 +429,7 @@
     a.open = false;
     c.out -= 1;
     Server& s = servers_[a.server];
-    const double took = seconds(now_ - a.sent);
+    const double took = c.request.large ? latency_[c.request.class_id] : seconds(now_ - a.sent);
     --s.open, s.waiting_since = now_;
     running_ -= c.width, levels_[c.level].running -= c.width;
     Queue& q = queue(c);
@@ -442,7 +442,7 @@
     if (o.final || c.answered || o.result == Result::kOk) {
       finish(c);
     } else {
-      again(c, never_ran);
+      again(c, never_ran, o.spent);
     }
     present_ -= c.width;
     settle(c);
@@ -486,9 +486,9 @@
   // A small C moves by parts of itself: whole widths would swing it between nothing and twice its size.
   double step() const { return std::min(1.0, limit_ / kSmallLimit); }
 
-  void again(Call& c, bool never_ran) {
+  void again(Call& c, bool never_ran, bool spent) {
     if (c.out > 0) return;  // another copy is still out
-    const bool worth_it = c.attempts.size() < s_.most_tries &&
+    const bool worth_it = !spent && c.attempts.size() < s_.most_tries &&
                           now_ + from_seconds(latency_[c.request.class_id]) < c.request.deadline;
     if (worth_it && !c.maybe_ran && never_ran && now_ < c.hold_until) {
       present_ += c.width;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::uint32_t kFewestSockets = 64;
+constexpr std::uint32_t kLeastMemory = 16;
 
 sockaddr_in address_in(const Json::Value& object, const char* key) {
   const auto text = get<std::string>(object, key);
@@ -70,6 +71,8 @@
   c.discovery = address_in(root, "discovery");
   if (find(root, "admin_addr")) c.admin = address_in(root, "admin_addr");
   if (find(root, "limits")) c.sockets = get<std::uint32_t>(object_in(root, "limits"), "sockets", c.sockets);
+  if (find(root, "limits")) c.memory_mb = get<std::uint32_t>(object_in(root, "limits"), "memory_mb", c.memory_mb);
+  if (c.memory_mb < kLeastMemory) fault("limits.memory_mb", "under " + std::to_string(kLeastMemory), find(root, "limits"));
   if (c.sockets < kFewestSockets) fault("limits.sockets", "under " + std::to_string(kFewestSockets), find(root, "limits"));
   if (find(root, "known")) c.known = read_pool_config(object_in(root, "known"));
   c.named = read_settings(object_in(root, "settings"), seed_in(root));
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -33,6 +33,7 @@
   std::optional<int> inherited;          // a descriptor that listens for clients already; absent: `listen` is bound
   std::string shared_folder;             // that the processes of one proxy share; empty: none
   std::uint32_t sockets = 1024;
+  std::uint32_t memory_mb = 192;
   PoolConfig known;
   NamedSettings named;
 };
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -1,13 +1,14 @@
 #include "http/message.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace beechhill::http {
 namespace {
 
 constexpr std::string_view kLineEnd = "\r\n";
-constexpr std::size_t kMaxChunkLine = 256;
+constexpr std::size_t kMaxChunkLine = 4096;  // with its extensions
 
 char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
 
@@ -58,6 +59,8 @@
       return "Request Timeout";
     case 409:
       return "Conflict";
+    case 417:
+      return "Expectation Failed";
     case 413:
       return "Content Too Large";
     case 431:
@@ -195,8 +198,10 @@
   if (body_ == Body::kUnknown) {
     const Progress head = feed_head(buffer);
     if (head != Progress::kDone || kind_ == Kind::kResponseHead) return head;
+    if (length_.value_or(0) > kMaxBody) return bad(413);
   }
-  return feed_body(buffer);
+  const Progress progress = feed_body(buffer, message_.body);
+  return message_.body.size() > kMaxBody ? bad(413) : progress;
 }
 
 Progress Parser::end() {
@@ -247,6 +252,14 @@
     message_.method = line.substr(0, first);
     message_.target = line.substr(first + 1, last - first - 1);
     version = line.substr(last + 1);
+    // RFC 9112, section 3.2.2: the absolute form names the same as its path.
+    constexpr std::string_view kScheme = "http://";
+    if (same(std::string_view(message_.target).substr(0, kScheme.size()), kScheme)) {
+      const auto path = message_.target.find_first_of("/?", kScheme.size());
+      if (path == kScheme.size()) return false;  // no host
+      message_.target.erase(0, path);
+      if (!message_.target.starts_with('/')) message_.target.insert(0, 1, '/');
+    }
     if (!is_token(message_.method) || message_.target[0] != '/' || !printable(message_.target, false) ||
         std::any_of(message_.target.begin(), message_.target.end(), [](char c) { return c & 0x80; }))
       return false;
@@ -290,40 +303,61 @@
     }
   }
   if (encoding && length) return false;  // guards against request smuggling
-  if (length && *length > kMaxBody) return bad(413), false;
+  if (length && *length > kMaxStreamed) return bad(413), false;
+  length_ = length;
   body_ = Body::kLength;
   if (encoding) body_ = Body::kChunked;
   if (!encoding && !length && kind_ != Kind::kRequest && message_.status != 204 && message_.status != 304) {
-    if (kind_ == Kind::kResponse)
-      return false;  // guards against a cut body: only a stated end proves it whole
+    // Guards against a cut body: only a stated end, or the word that the connection's end is it, proves it whole.
+    if (kind_ == Kind::kResponse && !message_.headers.has_token("Connection", "close")) return false;
     body_ = Body::kUntilEnd;
   }
   left_ = length.value_or(0);
   return true;
 }
 
-Progress Parser::feed_body(std::string& buffer) {
+Progress Parser::feed_body(std::string& buffer, std::string& out) {
   Progress progress = Progress::kMore;
+  const std::size_t before = out.size();
   if (body_ == Body::kChunked) {
-    progress = chunked_.feed(buffer, message_.body);
+    progress = chunked_.feed(buffer, out);
     if (progress == Progress::kBad) return bad(400);
   } else {
     const std::size_t n = body_ == Body::kLength ? std::min(left_, buffer.size()) : buffer.size();
-    message_.body.append(buffer, 0, n);
+    out.append(buffer, 0, n);
     buffer.erase(0, n);
     left_ -= body_ == Body::kLength ? n : 0;
     if (body_ == Body::kLength && left_ == 0) progress = Progress::kDone;
   }
-  return message_.body.size() > kMaxBody ? bad(413) : progress;
+  decoded_ += out.size() - before;
+  return decoded_ > kMaxStreamed ? bad(413) : progress;
 }
 
-std::string write_response(int status, std::string_view extra, std::string_view body, bool close) {
+std::string write_response_head(int status, std::string_view extra, std::optional<std::uint64_t> length, bool close) {
   std::string out = "HTTP/1.1 " + std::to_string(status) + " " + phrase(status) + "\r\n";
   out.append(extra);
-  out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  out += length ? "Content-Length: " + std::to_string(*length) + "\r\n" : "Transfer-Encoding: chunked\r\n";
   if (close) out += "Connection: close\r\n";
-  out += kLineEnd;
-  return out.append(body);
+  return out += kLineEnd;
+}
+
+std::string write_chunk(std::string_view bytes) {
+  std::array<char, 16> size{};
+  const char* const end = std::to_chars(size.data(), size.data() + size.size(), bytes.size(), 16).ptr;
+  std::string out(size.data(), static_cast<std::size_t>(end - size.data()));
+  return out.append(kLineEnd).append(bytes).append(kLineEnd);
+}
+
+std::string write_response(int status, std::string_view extra, std::string_view body, bool close) {
+  return write_response_head(status, extra, body.size(), close).append(body);
+}
+
+std::string write_request_head(std::string_view method, std::string_view target, std::string_view host,
+                               std::string_view extra, std::optional<std::uint64_t> length) {
+  std::string out(method);
+  out.append(" ").append(target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n").append(extra);
+  out += length ? "Content-Length: " + std::to_string(*length) + "\r\n" : "Transfer-Encoding: chunked\r\n";
+  return out += kLineEnd;
 }
 
 std::string write_request(std::string_view method, std::string_view target, std::string_view host,
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -12,7 +12,8 @@
 namespace beechhill::http {
 
 inline constexpr std::size_t kMaxHead = 16 * 1024;
-inline constexpr std::size_t kMaxBody = 64 * 1024;
+inline constexpr std::size_t kMaxBody = 64 * 1024;            // of a message taken whole
+inline constexpr std::size_t kMaxStreamed = 40 * 1024 * 1024;  // of one passed on as it comes
 inline constexpr std::size_t kMaxBlank = 64;   // bytes of blank lines before a request
 inline constexpr std::size_t kMaxInterim = 8;  // 1xx answers before the real one
 
@@ -54,20 +55,23 @@
   enum class Kind { kRequest, kResponse, kResponseHead };
   explicit Parser(Kind kind) : kind_(kind) {}
 
+  // The whole message, up to kMaxBody.
   Progress feed(std::string& buffer);
+  // Or in parts: the head, and then, until kDone, the body's bytes from `buffer` to `out`, up to kMaxStreamed in all.
+  Progress feed_head(std::string& buffer);
+  Progress feed_body(std::string& buffer, std::string& out);
   // The peer has ended: kDone if that is how the body ends.
   Progress end();
 
   Message& message() { return message_; }
   bool head_done() const { return body_ != Body::kUnknown; }
   bool chunked() const { return body_ == Body::kChunked; }
+  std::optional<std::uint64_t> length() const { return length_; }  // as stated
   int error_status() const { return error_status_; }  // what to answer a request that is kBad
 
  private:
   enum class Body { kUnknown, kLength, kChunked, kUntilEnd };
   Progress bad(int status);
-  Progress feed_head(std::string& buffer);
-  Progress feed_body(std::string& buffer);
   bool start_line(std::string_view line);
   bool header_line(std::string_view line);
   bool skip_blank(std::string& buffer);
@@ -76,14 +80,22 @@
   Kind kind_;
   Message message_;
   Body body_ = Body::kUnknown;
-  std::size_t left_ = 0;
+  std::optional<std::uint64_t> length_;
+  std::size_t left_ = 0, decoded_ = 0;
   std::size_t scanned_ = 0, blank_ = 0, interim_ = 0;  // of the head so far
   ChunkedDecoder chunked_;
   int error_status_ = 400;
 };
 
+// The head of a response whose body follows: of that length, or else chunked.
+std::string write_response_head(int status, std::string_view extra, std::optional<std::uint64_t> length, bool close);
+// One chunk of a body; an empty one ends it.
+std::string write_chunk(std::string_view bytes);
 // A whole response. `extra` holds further header lines, each with its line end.
 std::string write_response(int status, std::string_view extra, std::string_view body, bool close);
+// The head of a request whose body follows: of that length, or else chunked.
+std::string write_request_head(std::string_view method, std::string_view target, std::string_view host,
+                               std::string_view extra, std::optional<std::uint64_t> length);
 std::string write_request(std::string_view method, std::string_view target, std::string_view host,
                           std::string_view extra, std::string_view body);
 
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -83,6 +83,7 @@
   request.class_id = op.class_id;
   request.tenant = op.tenant;
   request.deadline = op.deadline;
+  request.large = op.large;
   drive(request);
   tidy(request.id);
 }
@@ -102,8 +103,16 @@
   Entry& entry = it->second;
   --entry.out;
   if (done.result != Result::kConnectFailed && done.result != Result::kMoot) entry.written = true;
-  if (done.result == Result::kOk && !entry.over) end(entry, std::move(done.reply));
-  const Outcome outcome{done.operation, done.attempt, done.result, entry.over, done.report};
+  const Operation& op = *entry.operation;
+  const bool spent = op.large && op.payload->rest()->begun();
+  const std::shared_ptr<BodyPipe> rest = done.reply.rest;
+  if (rest) ++backends_[entry.servers[done.attempt]].used;  // until its StreamDone
+  if (done.result == Result::kOk && !entry.over) {
+    end(entry, std::move(done.reply));
+  } else if (rest) {
+    rest->leave();
+  }
+  const Outcome outcome{done.operation, done.attempt, done.result, entry.over, done.report, spent};
   drive(outcome);
   tidy(done.operation);
 }
@@ -131,10 +140,9 @@
   if (it == entries_.end()) return;
   Entry& entry = it->second;
   const Operation& op = *entry.operation;
-  RouteStep step{a.id, static_cast<std::uint32_t>(entry.servers.size()), op.deadline, op.deadline,
-                 op.payload};
+  RouteStep step{a.id, static_cast<std::uint32_t>(entry.servers.size()), op.deadline, op.deadline, op.wait, op.payload};
   // Past half of its time a client is better told that nothing was sent than kept waiting for a connection.
-  if (!entry.written && entry.out == 0) step.connect_by = op.arrived + (op.deadline - op.arrived) * 9 / 20;
+  if (!entry.written && entry.out == 0 && !op.large) step.connect_by = op.arrived + (op.deadline - op.arrived) * 9 / 20;
   if (a.time_out > Duration{0}) step.deadline = std::min(step.deadline, now() + a.time_out);
   entry.servers.push_back(a.server);
   ++entry.out;
@@ -279,6 +287,11 @@
   servers_.forget(server);
 }
 
+void DecisionActor::on(StreamDone& done) {
+  --backends_[done.server].used;
+  let_go(done.server);
+}
+
 void DecisionActor::on(ProbeDone& done) {
   drive(ProbeResult{done.server, done.result, done.report});
   --backends_[done.server].used;
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -56,6 +56,7 @@
   void on(Arrived& arrived);
   void on(Left& left);
   void on(StepDone& done);
+  void on(StreamDone& done);
   void on(ProbeDone& done);
   void on(config::PoolConfig& pool);
   void on(Exclude& order);
--- a/src/proxy/front_socket.cpp
+++ b/src/proxy/front_socket.cpp
@@ -19,7 +19,9 @@
 
 constexpr auto kIdleLimit = 10000ms;       // between a client's requests
 constexpr auto kSilentLimit = 1000ms;      // for a new client's first byte
-constexpr auto kRequestLimit = 1500ms;     // for a request to arrive, from its first byte
+constexpr auto kRequestLimit = 2500ms;     // for a request to arrive, from its first byte, and more for its length:
+constexpr std::uint64_t kLeastRate = 32;   // bytes a millisecond; a slow client writes 64
+constexpr auto kUploadGuess = 60s;         // for a large body to come, as the module is told
 constexpr auto kSilentAge = 30ms;          // when descriptors are short: a usual client has spoken by then
 constexpr auto kKeptAge = 250ms;           // the same, while there may be silent ones: between requests
 constexpr auto kHalfSpokenAge = 500ms;     // the same, for the rest of its request
@@ -37,19 +39,29 @@
 
 class HttpPayload : public Payload {
  public:
-  explicit HttpPayload(http::Message&& request) : request_(std::move(request)) {}
+  // With `rest` the request's body is its first part only; `length` is that of all of it, `wait` the client's.
+  HttpPayload(http::Message&& request, std::shared_ptr<BodyPipe> rest, std::optional<std::uint64_t> length, Duration wait)
+      : request_(std::move(request)), rest_(std::move(rest)), length_(length), wait_(wait) {}
   std::string_view id() const override { return *request_.headers.find("X-Trace-Id"); }
   std::string encode(const std::string& host, Duration left) const override {
-    const auto ms = std::max<std::int64_t>(1, std::chrono::floor<std::chrono::milliseconds>(left).count());
+    using std::chrono::milliseconds;
+    const auto ms = std::max<std::int64_t>(1, std::chrono::floor<milliseconds>(rest_ ? wait_ : left).count());
     std::string headers = "X-Expires-In-Ms: " + std::to_string(ms) + "\r\n";
     for (const char* name : {"X-Trace-Id", "Idempotency-Key", "Content-Type"})
       if (const std::string* value = request_.headers.find(name))
         headers.append(name).append(": ").append(*value).append("\r\n");
-    return http::write_request(request_.method, request_.target, host, headers, request_.body);
+    if (!rest_) return http::write_request(request_.method, request_.target, host, headers, request_.body);
+    return http::write_request_head(request_.method, request_.target, host, headers, length_) + framed(request_.body);
   }
+  const std::shared_ptr<BodyPipe>& rest() const override { return rest_; }
+  std::string framed(std::string bytes) const override { return length_ ? bytes : http::write_chunk(bytes); }
+  std::string framed_end() const override { return length_ ? "" : http::write_chunk({}); }
 
  private:
   http::Message request_;
+  std::shared_ptr<BodyPipe> rest_;
+  std::optional<std::uint64_t> length_;
+  Duration wait_;
 };
 
 }  // namespace
@@ -67,11 +79,12 @@
 }  // namespace
 
 FrontDoor::FrontDoor(runtime::Scheduler& scheduler, DecisionBox& decisions, const config::Config& config,
-                     Telemetry& telemetry, std::size_t descriptors, std::function<bool()> has_list, bool drained)
+                     Telemetry& telemetry, BodyBudget& bodies, std::size_t descriptors, std::function<bool()> has_list, bool drained)
     : scheduler_(scheduler),
       decisions_(decisions),
       config_(config),
       telemetry_(telemetry),
+      bodies_(bodies),
       budget_(descriptors),
       has_list_(std::move(has_list)),
       listener_(config.inherited ? std::make_unique<net::Listener>(scheduler, net::Fd(*config.inherited))
@@ -193,7 +206,8 @@
 
 // Strict: nothing doubtful reaches a backend. A header may be absent where a default stands for it; one that
 // is there must be understood, and stand there once.
-FrontDoor::Target FrontDoor::target_of(http::Message& request) {
+FrontDoor::Target FrontDoor::target_of(http::Message& request, std::optional<std::uint64_t> length,
+                                       std::shared_ptr<BodyPipe> upload) {
   const auto& headers = request.headers;
   const std::string path = request.target.substr(1, request.target.find_first_of("/?", 1) - 1);
   const auto class_id = classes_.known(path);
@@ -223,9 +237,12 @@
     wait = std::chrono::milliseconds(std::min(*ms, static_cast<std::uint64_t>(longest)));
   }
   operation->arrived = now();
-  operation->deadline = std::min(operation->arrived + wait, course_.answer_by());
+  operation->wait = wait;
+  operation->large = upload != nullptr;
+  operation->deadline = operation->arrived + wait + (operation->large ? Duration(kUploadGuess) : Duration{0});
+  operation->deadline = std::min(operation->deadline, course_.answer_by());
   if (!ids_.take(*trace, operation->arrived, operation->deadline + kIdKept)) return {409, nullptr};
-  operation->payload = std::make_shared<const HttpPayload>(std::move(request));
+  operation->payload = std::make_shared<const HttpPayload>(std::move(request), std::move(upload), length, wait);
   return {0, std::move(operation)};
 }
 
@@ -280,7 +297,7 @@
       co_await turn_away(408, EndReason::kReadTimeout);
       break;
     }
-    const bool open = co_await answer_request(parser.message());
+    const bool open = co_await answer_request(parser);
     if (!open) break;
   }
   enter(Phase::kLingering);
@@ -295,18 +312,43 @@
   reason_ = reason;
 }
 
+// A large body may take its time, at a least rate.
+TimePoint FrontSocket::whole_by() const {
+  return begun_ + kRequestLimit + std::chrono::milliseconds(received_ / kLeastRate);
+}
+
+// A whole request, or of a large one what has come up to kMaxBody.
 Task<FrontSocket::Got> FrontSocket::read_request(http::Parser& parser) {
-  http::Progress progress = parser.feed(buffer_);
+  http::Progress progress = http::Progress::kMore;
+  std::string& body = parser.message().body;
+  large_ = false;
+  received_ = buffer_.size();
+  const auto advance = [&] {
+    if (!parser.head_done()) progress = parser.feed_head(buffer_);
+    if (parser.head_done() && progress != http::Progress::kBad) progress = parser.feed_body(buffer_, body);
+    large_ = progress == http::Progress::kMore && body.size() > http::kMaxBody;
+  };
+  advance();
   const bool begun = progress != http::Progress::kMore || !buffer_.empty() || parser.head_done();
   enter(begun ? Phase::kReading : operations_ == 0 && !probed_ ? Phase::kSilent : Phase::kKept);
-  TimePoint deadline = since_ + (begun                      ? kRequestLimit
-                                 : phase_ == Phase::kSilent ? kSilentLimit
-                                                            : kIdleLimit);
-  while (progress == http::Progress::kMore) {
+  begun_ = since_;
+  bool continued = false;
+  while (progress == http::Progress::kMore && !large_) {
+    if (parser.head_done() && !std::exchange(continued, true) && parser.message().headers.find("Expect")) {
+      if (!parser.message().headers.has_token("Expect", "100-continue")) co_return Got::kBad;
+      if (co_await stream_.write("HTTP/1.1 100 Continue\r\n\r\n", Clock::now() + kWriteLimit) != Io::kOk) {
+        reason_ = EndReason::kWriteFailed;
+        co_return Got::kEnd;
+      }
+    }
     // Asked to close: a last look for a request that has come, without waiting for one.
     const bool idle = phase_ != Phase::kReading;
+    const TimePoint deadline = !idle                      ? whole_by()
+                               : phase_ == Phase::kSilent ? since_ + kSilentLimit
+                                                          : since_ + kIdleLimit;
     const TimePoint until =
         asked_ && (idle || asked_reason_ == EndReason::kEvicted) ? Clock::now() : deadline;
+    const std::size_t before = buffer_.size();
     const Io io = co_await stream_.read(buffer_, until, &wake_);
     if (io == Io::kNotified) continue;
     if (io == Io::kTimeout && !idle && !asked_) {
@@ -321,29 +363,34 @@
       enter(Phase::kBusy);  // no longer one to ask
       co_return Got::kEnd;
     }
-    if (idle) {
-      enter(Phase::kReading);
-      deadline = since_ + kRequestLimit;
-    }
-    progress = parser.feed(buffer_);
+    received_ += buffer_.size() - before;
+    enter(Phase::kReading);  // it has not stopped
+    if (idle) begun_ = since_;
+    advance();
   }
   enter(Phase::kBusy);
   // Guards against a request whose length is wrong: what follows it is no request.
   if (progress == http::Progress::kDone && !http::may_begin_request(buffer_)) co_return Got::kBad;
-  co_return progress == http::Progress::kDone ? Got::kRequest : Got::kBad;
+  co_return progress == http::Progress::kBad ? Got::kBad : Got::kRequest;
 }
 
 bool FrontSocket::parts() const { return asked_ || door_.course_.parts(came_, now()); }
 
 // False: this was the connection's last.
-Task<bool> FrontSocket::answer_request(http::Message& request) {
+Task<bool> FrontSocket::answer_request(http::Parser& parser) {
+  http::Message& request = parser.message();
   bool close = parts() || !request.keep_alive();
   if (request.method == "GET" && request.target == "/health/ready") {
     probed_ = true;
     const std::string bytes = http::write_response(door_.ready() ? 200 : 503, "", "", close);
     co_return co_await reply(bytes, close);
   }
-  FrontDoor::Target target = door_.target_of(request);
+  const bool chunks = request.minor_version >= 1;
+  const bool short_of_room = large_ && !door_.bodies_.room();
+  std::shared_ptr<BodyPipe> upload;
+  runtime::Notifier early;  // until there is an operation to notify
+  if (large_) upload = std::make_shared<BodyPipe>(door_.bodies_, early);
+  FrontDoor::Target target = door_.target_of(request, parser.length(), upload);
   if (target.error != 0) {
     co_await turn_away(target.error, EndReason::kBadRequest);
     co_return false;
@@ -351,17 +398,30 @@
   ++operations_;
   Telemetry::Open open(door_.telemetry_, target.operation->class_id);
   const std::shared_ptr<Operation> operation = std::move(target.operation);
+  struct Breaker {  // however this ends: nobody is to wait for a body that will not come, nor to notify who has gone
+    BodyPipe* pipe;
+    ~Breaker() {
+      if (pipe) pipe->break_off();
+    }
+  } breaker{upload.get()};
+  if (upload) upload->notify_writer(operation->answered);
   DecisionMessage arrival(Arrived{operation});
-  if (!door_.decisions_.post(std::move(arrival))) {
+  if (short_of_room || !door_.decisions_.post(std::move(arrival))) {
     operation->answer = BusyReply{};  // nothing has run
-  } else if (!co_await await_answer(operation)) {
+  } else if (!co_await await_answer(operation, parser)) {
     co_return false;
   }
-  close = close || parts();
+  // Answered before its body has come: what still comes is no request.
+  close = close || parts() || (upload && !upload->whole());
   std::string bytes;
   Ended how = Ended::kFailed;
   if (const auto* served = std::get_if<Reply>(&*operation->answer)) {
     const std::string type = served->type.empty() ? "" : "Content-Type: " + served->type + "\r\n";
+    if (served->rest) {
+      const bool whole = co_await pass_on(*served, type, close, chunks);
+      if (reason_ != EndReason::kWriteFailed) open.end(whole ? Ended::kCompleted : Ended::kFailed);
+      co_return whole && !close && (chunks || served->length);
+    }
     bytes = http::write_response(200, type, served->body, close);
     how = Ended::kCompleted;
   } else if (const auto* busy = std::get_if<BusyReply>(&*operation->answer)) {
@@ -378,28 +438,87 @@
   co_return more;
 }
 
-// Waits for the operation's answer and for the client's end alike. False: the client has gone.
-Task<bool> FrontSocket::await_answer(const std::shared_ptr<Operation>& operation) {
-  const TimePoint overdue = to_point(operation->deadline + kOverdue);
+// A large answer, at the pace of its backend and its client. False: its end did not come, or the client left; the
+// connection is then closed without it, so that the client can tell.
+Task<bool> FrontSocket::pass_on(const Reply& reply, const std::string& extra, bool close, bool chunks) {
+  BodyPipe& rest = *reply.rest;
+  struct Leaver {
+    BodyPipe& pipe;
+    ~Leaver() { pipe.leave(); }
+  } leaver{rest};
+  const bool stated = reply.length.has_value();
+  const auto framed = [&](const std::string& bytes) { return stated || !chunks ? bytes : http::write_chunk(bytes); };
+  std::string bytes = chunks || stated ? http::write_response_head(200, extra, reply.length, close)
+                                       : "HTTP/1.1 200 OK\r\n" + extra + "Connection: close\r\n\r\n";
+  bytes += framed(reply.body);
+  for (;;) {
+    const bool last = rest.whole();
+    if (!rest.empty()) bytes += framed(rest.take());
+    if (last && !stated && chunks) bytes += http::write_chunk({});
+    const Io io = co_await stream_.write(bytes, Clock::now() + kWriteLimit);
+    reason_ = io != Io::kOk ? EndReason::kWriteFailed : EndReason::kAnsweredClose;
+    if (io != Io::kOk || last) co_return io == Io::kOk;
+    bytes.clear();
+    if (!rest.empty() || rest.whole()) continue;
+    if (rest.broken()) co_return false;
+    runtime::Wait wait(door_.scheduler_);
+    wait.notified(rest.arrived());
+    co_await wait;
+  }
+}
+
+// Moves what has come of a large request's body on.
+FrontSocket::Upload FrontSocket::take_upload(Operation& operation, http::Parser& parser) {
+  BodyPipe& upload = *operation.payload->rest();
+  std::string bytes;
+  const http::Progress progress = parser.feed_body(buffer_, bytes);
+  if (!bytes.empty()) upload.push(bytes);
+  if (progress == http::Progress::kMore) return Upload::kMore;
+  if (progress == http::Progress::kBad || !http::may_begin_request(buffer_)) return Upload::kBad;
+  operation.arrived = now();
+  operation.deadline = std::min(operation.arrived + operation.wait, door_.course_.answer_by());
+  upload.finish();
+  return Upload::kDone;
+}
+
+// Waits for the operation's answer and for the client's end alike, and passes the rest of a large body on. False: the
+// client has gone, or been told that its request is wrong.
+Task<bool> FrontSocket::await_answer(const std::shared_ptr<Operation>& operation, http::Parser& parser) {
+  BodyPipe* const upload = operation->payload->rest().get();
   while (!operation->answer) {
     Io io = Io::kNotified;
-    if (buffer_.size() < kMaxEarly) {
+    const bool coming = upload && !upload->whole();
+    const TimePoint overdue = coming ? whole_by() : to_point(operation->deadline + kOverdue);
+    if (coming ? !upload->full() : buffer_.size() < kMaxEarly) {
+      const std::size_t before = buffer_.size();
       io = co_await stream_.read(buffer_, overdue, &operation->answered);
+      received_ += buffer_.size() - before;
     } else {
+      // While a backend holds the body back, its client is not the slow one.
       runtime::Wait wait(door_.scheduler_);
-      wait.notified(operation->answered).until(overdue);
+      const TimePoint from = Clock::now();
+      wait.notified(operation->answered).until(coming ? to_point(operation->deadline) : overdue);
       if (co_await wait == runtime::Wake::kTime) io = Io::kTimeout;
+      if (coming) begun_ += Clock::now() - from;
     }
     if (operation->answer || io == Io::kNotified) continue;
-    const bool spoilt = io == Io::kOk && !http::may_begin_request(buffer_);  // its length was wrong
+    bool spoilt = false, slow = false;
+    if (coming && io == Io::kOk) {
+      spoilt = take_upload(*operation, parser) == Upload::kBad;
+    } else {
+      spoilt = io == Io::kOk && !http::may_begin_request(buffer_);  // its length was wrong
+      slow = coming && io == Io::kTimeout;
+    }
     if (io == Io::kOk && !spoilt) continue;
     // Gone, or never decided: an unforeseen failure, and something may have run.
-    if (io == Io::kTimeout) operation->answer = Failed{};
+    if (io == Io::kTimeout && !slow) operation->answer = Failed{};
+    if (upload) upload->break_off();
     DecisionMessage left(Left{operation});
     if (!door_.decisions_.post(std::move(left))) log_lost("client_end");
-    if (io == Io::kTimeout) break;
-    if (spoilt) co_await turn_away(400, EndReason::kBadRequest);
-    if (!spoilt) reason_ = EndReason::kClientGone;
+    if (io == Io::kTimeout && !slow) break;
+    if (spoilt) co_await turn_away(coming ? parser.error_status() : 400, EndReason::kBadRequest);
+    if (slow) co_await turn_away(408, EndReason::kReadTimeout);
+    if (!spoilt && !slow) reason_ = EndReason::kClientGone;
     co_return false;
   }
   co_return true;
--- a/src/proxy/front_socket.h
+++ b/src/proxy/front_socket.h
@@ -35,7 +35,7 @@
 class FrontDoor {
  public:
   FrontDoor(runtime::Scheduler& scheduler, DecisionBox& decisions, const config::Config& config, Telemetry& telemetry,
-            std::size_t descriptors, std::function<bool()> has_list, bool drained = false);
+            BodyBudget& bodies, std::size_t descriptors, std::function<bool()> has_list, bool drained = false);
 
   sockaddr_in address() const { return listener_->address(); }
   DoorBox& inbox() { return inbox_; }
@@ -51,7 +51,8 @@
     int error = 0;
     std::shared_ptr<Operation> operation;
   };
-  Target target_of(http::Message& request);
+  // `upload`: where the rest of its body will come; null where it is whole.
+  Target target_of(http::Message& request, std::optional<std::uint64_t> length, std::shared_ptr<BodyPipe> upload);
   bool ready() const { return course_.ready() && has_list_(); }
   void evict();
   void heed(const DoorOrder& order);
@@ -60,6 +61,7 @@
   DecisionBox& decisions_;
   const config::Config& config_;
   Telemetry& telemetry_;
+  BodyBudget& bodies_;
   config::Interner classes_, tenants_;
   FdBudget budget_;
   std::function<bool()> has_list_;
@@ -92,8 +94,12 @@
   void enter(Phase phase);
   runtime::Task<> turn_away(int status, EndReason reason);
   runtime::Task<Got> read_request(http::Parser& parser);
-  runtime::Task<bool> answer_request(http::Message& request);
-  runtime::Task<bool> await_answer(const std::shared_ptr<Operation>& operation);
+  runtime::Task<bool> answer_request(http::Parser& parser);
+  runtime::Task<bool> await_answer(const std::shared_ptr<Operation>& operation, http::Parser& parser);
+  runtime::Task<bool> pass_on(const Reply& reply, const std::string& extra, bool close, bool chunks);
+  runtime::TimePoint whole_by() const;
+  enum class Upload { kMore, kDone, kBad };
+  Upload take_upload(Operation& operation, http::Parser& parser);
   runtime::Task<bool> reply(const std::string& bytes, bool close);
   bool parts() const;
 
@@ -104,6 +110,9 @@
   std::string buffer_;  // bytes read and not yet used: the next request may come early
   runtime::Notifier wake_;
   bool asked_ = false, probed_ = false;
+  bool large_ = false;            // the request's body is not whole yet, and will not be kept
+  runtime::TimePoint begun_{};    // its first byte came
+  std::uint64_t received_ = 0;    // of its bytes, so far
   Phase phase_ = Phase::kSilent;
   runtime::TimePoint since_ = runtime::Clock::now();  // when the phase began
   EndReason asked_reason_ = EndReason::kEvicted;
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -10,6 +10,7 @@
 
 #include "beechhill/balancer.h"
 #include "config/config.h"
+#include "proxy/body_pipe.h"
 #include "runtime/mailbox.h"
 
 namespace beechhill::proxy {
@@ -25,12 +26,22 @@
   virtual ~Payload() = default;
   // All bytes of it; `left` is how long the proxy will wait.
   virtual std::string encode(const std::string& host, Duration left) const = 0;
+  // What of the body follows those bytes, for one reader; null where they are all.
+  virtual const std::shared_ptr<BodyPipe>& rest() const {
+    static const std::shared_ptr<BodyPipe> none;
+    return none;
+  }
+  // Bytes of the body as they go on the wire.
+  virtual std::string framed(std::string bytes) const { return bytes; }
+  virtual std::string framed_end() const { return {}; }
   // What the request is called; a backend may begin its answer with it.
   virtual std::string_view id() const { return {}; }
 };
 
 struct Reply {  // a backend's answer to pass on
   std::string body, type;
+  std::shared_ptr<BodyPipe> rest;        // what of the body follows; null where that is all
+  std::optional<std::uint64_t> length;  // of all of it, with `rest` and where the backend told
 };
 
 struct BusyReply {  // refused: trying again is harmless
@@ -44,7 +55,9 @@
   RequestId id = 0;  // given by the decision actor
   ClassId class_id = 0;
   TenantId tenant = kNoTenant;
-  Time arrived{0}, deadline{0};
+  Time arrived{0}, deadline{0};  // of a large one's last byte, once that has come: guessed before
+  Duration wait{0};               // that the client will, from its last byte
+  bool large = false;             // its body is not kept, but passed on as it comes
   std::shared_ptr<const Payload> payload;
   std::optional<Answer> answer;
   runtime::Notifier answered;
@@ -55,6 +68,7 @@
   std::uint32_t attempt = 0;
   Time connect_by{0};  // a connection not up by then has failed
   Time deadline{0};    // when the proxy stops waiting
+  Duration wait{0};    // of a large request: from when its last byte is written
   std::shared_ptr<const Payload> payload;
 };
 struct CancelStep {
@@ -82,6 +96,9 @@
   LoadReport report;
   Reply reply;
 };
+struct StreamDone {  // the rest of an answer has ended, however
+  ServerId server = 0;
+};
 struct ProbeDone {
   ServerId server = 0;
   Result result = Result::kOk;
@@ -108,7 +125,7 @@
   std::shared_ptr<Asked> asked;
 };
 
-using DecisionMessage = std::variant<Arrived, Left, StepDone, ProbeDone, config::PoolConfig, Exclude, Census>;
+using DecisionMessage = std::variant<Arrived, Left, StepDone, StreamDone, ProbeDone, config::PoolConfig, Exclude, Census>;
 using DecisionBox = runtime::Mailbox<DecisionMessage>;
 
 struct WatchNow {};  // the module wants the list watched: no more pausing
--- a/src/proxy/peer_actor.cpp
+++ b/src/proxy/peer_actor.cpp
@@ -21,6 +21,8 @@
 constexpr auto kSettling = 5ms;  // after an answer
 constexpr Duration kProbeLimit = 500ms;
 constexpr Duration kAnswerPause = 250ms;  // within an answer that has begun: longer, and its length was wrong
+constexpr auto kStreamPause = 5000ms;      // within what is passed on as it comes, by either side
+constexpr std::size_t kFirstPart = 8 * 1024;  // of an answer stated to be large, before a client gets any of it
 constexpr double kMostUtilisation = 8;    // beyond, a load report is absurd
 constexpr double kMostRate = 1e5;
 constexpr Duration kDrainMargin = 200ms;  // before the drain's grace ends, nothing is begun any more
@@ -211,7 +213,13 @@
 Task<> PeerActor::run_step(RouteStep step) {
   StepDone done{step.operation, step.attempt, Result::kConnectFailed, {}, {}};
   try {
-    Exchanged got = co_await exchange(*step.payload, step.connect_by, step.deadline);
+    Exchanged got = co_await exchange(*step.payload, step.connect_by, step.deadline, &step);
+    if (got.told) {
+      steps_.erase({step.operation, step.attempt});
+      DecisionMessage ended(StreamDone{server_});
+      co_await deliver(std::move(ended));
+      co_return;
+    }
     done.result = got.result;
     done.report = got.report;
     done.reply = std::move(got.reply);
@@ -227,7 +235,7 @@
 Task<> PeerActor::run_probe() {
   const ProbePayload payload;
   const Time until = now() + kProbeLimit;
-  const Exchanged got = co_await exchange(payload, until, until);
+  const Exchanged got = co_await exchange(payload, until, until, nullptr);
   DecisionMessage message(ProbeDone{server_, got.result, got.report});
   co_await deliver(std::move(message));
 }
@@ -241,7 +249,8 @@
   }
 }
 
-Task<PeerActor::Exchanged> PeerActor::exchange(const Payload& payload, Time connect_by, Time deadline) {
+Task<PeerActor::Exchanged> PeerActor::exchange(const Payload& payload, Time connect_by, Time deadline,
+                                                const RouteStep* step) {
   Exchanged got;
   if (!may_send()) co_return got;
   std::unique_ptr<Connection> connection = take_idle();
@@ -262,31 +271,105 @@
   }
   ++connection->operations;
   const std::string bytes = payload.encode(net::to_string(status_.address), deadline - now());
-  const Io written = co_await connection->stream->write(bytes, to_point(deadline));
+  Io written = co_await connection->stream->write(bytes, to_point(deadline));
+  if (written == Io::kOk && payload.rest()) {
+    written = co_await send_rest(*connection->stream, payload);
+    deadline = now() + step->wait;
+  }
   if (written != Io::kOk) {  // its last byte never left, so it never ran
     connection->reason = EndReason::kReset;
     co_return got;
   }
   if (!payload.id().empty()) pool_.telemetry.attempt_written();  // a probe is no attempt
   bool reusable = false;
-  got = co_await receive(*connection, payload.id(), deadline, reusable);
+  got = co_await receive(*connection, payload.id(), deadline, step, reusable);
   if (reusable && status_.state == ServerState::kUp) keep_idle(std::move(connection));
   co_return got;
 }
 
+// The rest of a large request, at the pace of its client. Anything but kOk: its last byte has not left. A backend that
+// ends, or answers before it has all, wants no more of it.
+Task<Io> PeerActor::send_rest(net::Stream& stream, const Payload& payload) {
+  BodyPipe& rest = *payload.rest();
+  for (;;) {
+    std::string bytes;
+    const bool last = rest.whole();
+    if (!rest.empty()) bytes = payload.framed(rest.take());
+    if (last) bytes += payload.framed_end();
+    const Io io = co_await stream.write(bytes, Clock::now() + kStreamPause);
+    if (io != Io::kOk || last) co_return io;
+    if (rest.broken()) co_return Io::kError;
+    if (!rest.empty() || rest.whole()) continue;
+    std::string early;
+    const Io word = co_await stream.read(early, Clock::now() + kStreamPause, &rest.arrived());
+    if (word != Io::kNotified && word != Io::kTimeout) co_return Io::kError;
+  }
+}
+
+// A large answer, whose first part has come: told at once, and passed on until its end. What the backend still gives is
+// not cut off by the request's deadline. True: it came whole.
+Task<bool> PeerActor::pass_on(Connection& connection, http::Parser& parser, std::string& buffer, Exchanged& got,
+                              const RouteStep& step) {
+  runtime::Notifier room;
+  const auto pipe = std::make_shared<BodyPipe>(pool_.bodies, room);
+  struct Breaker {  // also where this is cancelled: the reader must not wait for ever
+    BodyPipe& pipe;
+    ~Breaker() { pipe.break_off(); }
+  } breaker{*pipe};
+  StepDone done{step.operation, step.attempt, Result::kOk, got.report, std::move(got.reply)};
+  done.reply.rest = pipe;
+  got.told = true;
+  DecisionMessage message(std::move(done));
+  co_await deliver(std::move(message));
+  http::Progress progress = http::Progress::kMore;
+  std::string bytes;
+  while (!pipe->unread()) {
+    progress = parser.feed_body(buffer, bytes);
+    if (progress == http::Progress::kBad) break;
+    if (!bytes.empty()) pipe->push(bytes);
+    if (progress == http::Progress::kDone) break;
+    if (pipe->full()) {
+      runtime::Wait wait(scheduler_);
+      wait.notified(room);
+      co_await wait;
+      continue;
+    }
+    const Io io = co_await connection.stream->read(buffer, Clock::now() + kStreamPause, &room);
+    if (io == Io::kNotified || io == Io::kOk) continue;
+    if (io == Io::kEof) progress = parser.end();
+    break;
+  }
+  if (progress != http::Progress::kDone) {
+    connection.reason = pipe->unread() ? EndReason::kStepCancelled : EndReason::kBadReply;
+    co_return false;
+  }
+  pipe->finish();
+  co_return true;
+}
+
 // An answer counts only as a whole one to this request; whatever else comes may have run, and its connection
 // is of no more use.
 Task<PeerActor::Exchanged> PeerActor::receive(Connection& connection, std::string_view id, Time deadline,
-                                              bool& reusable) {
+                                              const RouteStep* step, bool& reusable) {
   Exchanged got;
   std::string buffer;
   http::Parser parser(http::Parser::Kind::kResponse);
+  http::Message& message = parser.message();
   http::Progress progress = http::Progress::kMore;
-  bool begun = false;
-  while (progress == http::Progress::kMore) {
+  bool begun = false, large = false;
+  const auto advance = [&] {
+    if (!parser.head_done()) progress = parser.feed_head(buffer);
+    if (parser.head_done() && progress != http::Progress::kBad) progress = parser.feed_body(buffer, message.body);
+    const bool stated = parser.length().value_or(0) > http::kMaxBody;
+    large = progress == http::Progress::kMore && parser.head_done() &&
+            message.body.size() > (stated ? kFirstPart : http::kMaxBody);
+  };
+  while (progress == http::Progress::kMore && !large) {
     const Time until = begun ? std::min(deadline, now() + kAnswerPause) : deadline;
     const Io io = co_await connection.stream->read(buffer, to_point(until));
-    if (io == Io::kOk) progress = parser.feed(buffer);
+    if (io == Io::kOk) advance();
+    if (io == Io::kEof && parser.head_done()) progress = parser.end();
+    if (progress == http::Progress::kDone) break;
     if (io == Io::kOk && progress != http::Progress::kBad) {
       begun = true;
       continue;
@@ -297,7 +380,6 @@
     got.result = broke ? Result::kReset : late ? Result::kTimeout : Result::kError;
     co_return got;
   }
-  http::Message& message = parser.message();
   const bool named = !id.empty() && message.body.starts_with(id);
   // Guards against serving a request with what was left over from the one before it on this connection.
   if (message.status == 200 && !named && std::exchange(connection.names_requests, named)) {
@@ -306,12 +388,20 @@
     co_return got;
   }
   connection.names_requests = named;
-  reusable = message.keep_alive() && buffer.empty();
-  connection.reason = buffer.empty() ? EndReason::kPeerClosed : EndReason::kBadReply;
   got.result = result_of(message);
   got.report = report_in(message.headers);
   got.reply.body = std::move(message.body);
   if (const std::string* type = message.headers.find("Content-Type")) got.reply.type = *type;
+  if (large && (!step || got.result != Result::kOk)) {  // nobody is to have it
+    connection.reason = EndReason::kBadReply;
+    co_return got;
+  }
+  if (large) {
+    got.reply.length = parser.length();
+    if (!co_await pass_on(connection, parser, buffer, got, *step)) co_return got;
+  }
+  reusable = message.keep_alive() && buffer.empty();
+  connection.reason = buffer.empty() ? EndReason::kPeerClosed : EndReason::kBadReply;
   co_return got;
 }
 
--- a/src/proxy/peer_actor.h
+++ b/src/proxy/peer_actor.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "http/message.h"
 #include "net/socket.h"
 #include "proxy/fd_budget.h"
 #include "proxy/log.h"
@@ -20,8 +21,10 @@
 
 // What all peers share: the descriptors they may hold, and each other's idle connections.
 struct PeerPool {
-  PeerPool(std::size_t descriptors, Telemetry& figures) : budget(descriptors), telemetry(figures) {}
+  PeerPool(std::size_t descriptors, BodyBudget& pipes, Telemetry& figures)
+      : budget(descriptors), bodies(pipes), telemetry(figures) {}
   FdBudget budget;
+  BodyBudget& bodies;
   Telemetry& telemetry;
   std::vector<PeerActor*> peers;
 };
@@ -59,15 +62,20 @@
     Result result = Result::kConnectFailed;
     LoadReport report;
     Reply reply;
+    bool told = false;  // the outcome is delivered already, with the answer's first part
   };
 
   runtime::Task<> run();
   runtime::Task<> run_step(RouteStep step);
   runtime::Task<> run_probe();
   runtime::Task<> deliver(DecisionMessage message);
-  runtime::Task<Exchanged> exchange(const Payload& payload, Time connect_by, Time deadline);
-  runtime::Task<Exchanged> receive(Connection& connection, std::string_view id, Time deadline,
+  // `step`: whose outcome may be delivered before the answer's end; null for a probe.
+  runtime::Task<Exchanged> exchange(const Payload& payload, Time connect_by, Time deadline, const RouteStep* step);
+  runtime::Task<net::Io> send_rest(net::Stream& stream, const Payload& payload);
+  runtime::Task<Exchanged> receive(Connection& connection, std::string_view id, Time deadline, const RouteStep* step,
                                    bool& reusable);
+  runtime::Task<bool> pass_on(Connection& connection, http::Parser& parser, std::string& buffer, Exchanged& got,
+                              const RouteStep& step);
 
   void on(RouteStep& step);
   void on(CancelStep& cancel);
--- a/src/proxy/serve.cpp
+++ b/src/proxy/serve.cpp
@@ -25,6 +25,7 @@
 
 constexpr std::size_t kOtherDescriptors = 24;  // standard streams, epoll, signals, listeners, discovery
 constexpr std::size_t kFrontPercent = 55;
+constexpr std::size_t kBodyShare = 6;
 constexpr std::size_t kLeastShare = 4;  // of all descriptors, one part is a process's own whatever the others hold
 constexpr std::size_t kMargin = 10;     // one part stays free beside another process: both grow between two looks
 constexpr auto kHearDiscovery = std::chrono::milliseconds(1500);
@@ -46,6 +47,9 @@
   std::size_t usable_;
 };
 
+// What bodies that are passed on may hold: a part of the memory, the rest is for requests taken whole and the program.
+std::size_t body_bytes(const config::Config& config) { return std::size_t{config.memory_mb} * 1024 * 1024 / kBodyShare; }
+
 // Null where no other process can share with this one; the service goes on without.
 std::unique_ptr<handover::Folder> join(const config::Config& config) {
   if (!config.inherited) return nullptr;
@@ -122,7 +126,8 @@
   runtime::Scheduler scheduler;
   const Shares shares(config.sockets - kOtherDescriptors - admin::kMostCallers);
   Telemetry telemetry(config.named.classes.size());
-  PeerPool pool(shares.peers(), telemetry);
+  BodyBudget bodies(body_bytes(config));
+  PeerPool pool(shares.peers(), bodies, telemetry);
   const auto make_peer = [&](DecisionBox& inbox, ServerId server, const sockaddr_in& address) {
     return std::make_unique<PeerActor>(scheduler, inbox, pool, config.named.settings, server, address);
   };
@@ -135,11 +140,12 @@
   const auto has_list = [&] {
     return decisions.has_list() && (!patient || decisions.heard() || runtime::Clock::now() >= patience);
   };
-  FrontDoor door(scheduler, decisions.inbox(), config, telemetry, shares.front(), has_list, before.drained);
+  FrontDoor door(scheduler, decisions.inbox(), config, telemetry, bodies, shares.front(), has_list, before.drained);
   const auto look = [&](const handover::Folder::Others& others) {
     const Shares now(shares.beside(others));
     door.budget().set_limit(now.front());
     pool.budget.set_limit(now.peers());
+    bodies.set_limit(body_bytes(config) / (others.alive > 0 ? 2 : 1));
     const std::size_t held = door.budget().used() + pool.budget.used() + kOtherDescriptors + admin::kMostCallers;
     return handover::HandoverActor::Own{door.serving(), static_cast<std::uint32_t>(held)};
   };
--- a/tests/proxy_test.h
+++ b/tests/proxy_test.h
@@ -188,6 +188,7 @@
     wire.send("GET /health/ready HTTP/1.1\r\nConnection: close\r\n\r\n");
     return wire.answer().status;
   }
+  pid_t pid() const { return pid_; }
   void signal(int number) const { ::kill(pid_, number); }
   int exit_status() {
     int status = 0;
