--- a/tests/bodies_test.cpp
+++ b/tests/bodies_test.cpp
@@ -207,22 +207,15 @@
   assert(!first.pending(50ms) && !second.pending(50ms));
 }
 
-const struct {
-  const char* name;
-  void (*run)();
-} kTests[] = {
+}  // namespace
+
+int main(int argc, char** argv) {
+  return run_named(argc, argv, {
     {"passes_large_bodies", passes_large_bodies},
     {"takes_its_time_and_no_more", takes_its_time_and_no_more},
     {"holds_slow_readers_back", holds_slow_readers_back},
     {"shows_a_cut_answer", shows_a_cut_answer},
     {"ends_with_its_client", ends_with_its_client},
     {"sends_no_part_twice", sends_no_part_twice},
-};
-
-}  // namespace
-
-int main(int argc, char** argv) {
-  for (const auto& test : kTests)
-    if (argc == 2 && std::strcmp(argv[1], test.name) == 0) return test.run(), 0;
-  return 2;
+  });
 }
--- a/tests/operators_test.cpp
+++ b/tests/operators_test.cpp
@@ -250,10 +250,10 @@
   assert(proxy.exit_status() == 0);
 }
 
-const struct {
-  const char* name;
-  void (*run)();
-} kTests[] = {
+}  // namespace
+
+int main(int argc, char** argv) {
+  return run_named(argc, argv, {
     {"reads_calls", reads_calls},
     {"follows_its_course", follows_its_course},
     {"answers_operators_in_a_crowd", answers_operators_in_a_crowd},
@@ -261,12 +261,5 @@
     {"keeps_bans", keeps_bans},
     {"refuses_when_all_are_out", refuses_when_all_are_out},
     {"drains_and_rejoins", drains_and_rejoins},
-};
-
-}  // namespace
-
-int main(int argc, char** argv) {
-  for (const auto& test : kTests)
-    if (argc == 2 && std::strcmp(argv[1], test.name) == 0) return test.run(), 0;
-  return 2;
+  });
 }
--- a/tests/proxy_rules.cpp
+++ b/tests/proxy_rules.cpp
@@ -487,10 +487,10 @@
   assert(!clients.front().fill());
 }
 
-const struct {
-  const char* name;
-  void (*run)();
-} kTests[] = {
+}  // namespace
+
+int main(int argc, char** argv) {
+  return run_named(argc, argv, {
     {"serves_unchanged", serves_unchanged},
     {"answers_every_request", answers_every_request},
     {"never_runs_twice", never_runs_twice},
@@ -515,12 +515,5 @@
     {"drops_stale_connections", drops_stale_connections},
     {"outlives_a_shortage_of_descriptors", outlives_a_shortage_of_descriptors},
     {"ends_in_good_order", ends_in_good_order},
-};
-
-}  // namespace
-
-int main(int argc, char** argv) {
-  for (const auto& test : kTests)
-    if (argc == 2 && std::strcmp(argv[1], test.name) == 0) return test.run(), 0;
-  return 2;
+  });
 }
--- a/tests/proxy_test.h
+++ b/tests/proxy_test.h
@@ -90,6 +90,13 @@
   net::Fd fd_;
 };
 
+// Runs the test that the one argument names.
+inline int run_named(int argc, char** argv, std::initializer_list<std::pair<std::string_view, void (*)()>> tests) {
+  for (const auto& [name, run] : tests)
+    if (argc == 2 && name == argv[1]) return run(), 0;
+  return 2;
+}
+
 inline void expect_status(Wire& client, int status) { assert(client.answer().status == status); }
 
 class Door {  // where a backend or discovery listens
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -234,10 +234,10 @@
   assert(status_with("300", -1) == 1 && status_with("three", -1) == 1 && status_with("-1", -1) == 1);
 }
 
-const struct {
-  const char* name;
-  void (*run)();
-} kTests[] = {
+}  // namespace
+
+int main(int argc, char** argv) {
+  return run_named(argc, argv, {
     {"reads_its_state_or_nothing", reads_its_state_or_nothing},
     {"loses_no_request", loses_no_request},
     {"binds_both_processes", binds_both_processes},
@@ -245,12 +245,5 @@
     {"outlives_a_killed_predecessor", outlives_a_killed_predecessor},
     {"sets_a_torn_state_aside", sets_a_torn_state_aside},
     {"refuses_a_wrong_descriptor", refuses_a_wrong_descriptor},
-};
-
-}  // namespace
-
-int main(int argc, char** argv) {
-  for (const auto& test : kTests)
-    if (argc == 2 && std::strcmp(argv[1], test.name) == 0) return test.run(), 0;
-  return 2;
+  });
 }
