Let the operators' parts share what they had written twice

Need: a reading of the whole change found the same thing in two places, and state that could be derived.

Change, behaviour as it was: one settled() waits for an actor's word, in place of a loop at the admin door and one in the handover actor; Parser::feed_part for both sides that take a body in parts, and under feed(); BodyPipe::Writing for the two guards that break a body off, which also spares a placeholder notifier; the framing line and a request's start are written once; Operation::large() is derived from its payload; take_upload says yes or no, as its third value was never used; limits are looked up once; the phrase of a 417 that is never sent is gone.

--- a/src/admin/admin_door.cpp
+++ b/src/admin/admin_door.cpp
@@ -107,16 +107,6 @@
   if (written == Io::kOk) co_await caller.stream.linger(Clock::now() + kLingerLimit, caller.let_go);
 }
 
-Task<int> AdminDoor::done(std::shared_ptr<Asked> asked) {
-  const auto until = Clock::now() + kAnswerLimit;
-  while (asked->status == 0) {
-    runtime::Wait wait(scheduler_);
-    wait.notified(asked->done).until(until);
-    if (co_await wait == runtime::Wake::kTime) co_return 503;
-  }
-  co_return asked->status;
-}
-
 Task<std::string> AdminDoor::answer_to(const std::string& method, const std::string& target) {
   using handover::Change;
   const Call call = read_call(method, target);
@@ -135,7 +125,7 @@
                                                          : Change::kRejoin,
                           call.target, asked};
     status = 503;
-    if (orders_.post(std::move(order))) status = co_await done(asked);
+    if (orders_.post(std::move(order))) status = co_await proxy::settled(scheduler_, asked, kAnswerLimit);
     log::info("operator", {{"call", std::string_view(target)}, {"status", static_cast<std::int64_t>(status)}});
   }
   std::string answer = http::write_response(status, "", "", true);
@@ -145,7 +135,7 @@
 Task<std::string> AdminDoor::figures() {
   const auto asked = std::make_shared<Asked>();
   int status = 503;
-  if (decisions_.post(proxy::Census{asked})) status = co_await done(asked);
+  if (decisions_.post(proxy::Census{asked})) status = co_await proxy::settled(scheduler_, asked, kAnswerLimit);
   Json::Value root(Json::objectValue);
   for (const char* name : {"completed", "rejected", "failed"}) root[name] = Json::Value(Json::objectValue);
   for (ClassId id = 0; id < classes_.size(); ++id) {
--- a/src/admin/admin_door.h
+++ b/src/admin/admin_door.h
@@ -41,8 +41,6 @@
   runtime::Task<> serve(std::shared_ptr<Caller> caller);
   runtime::Task<> converse(Caller& caller);
   runtime::Task<std::string> answer_to(const std::string& method, const std::string& target);
-  // Waits for the actor's word, for kAnswerLimit at most: the status, 503 where none came.
-  runtime::Task<int> done(std::shared_ptr<proxy::Asked> asked);
   runtime::Task<std::string> figures();
   bool let_one_go();
 
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -70,8 +70,11 @@
   c.listen = address_in(root, "listen");
   c.discovery = address_in(root, "discovery");
   if (find(root, "admin_addr")) c.admin = address_in(root, "admin_addr");
-  if (find(root, "limits")) c.sockets = get<std::uint32_t>(object_in(root, "limits"), "sockets", c.sockets);
-  if (find(root, "limits")) c.memory_mb = get<std::uint32_t>(object_in(root, "limits"), "memory_mb", c.memory_mb);
+  if (find(root, "limits")) {
+    const Json::Value& limits = object_in(root, "limits");
+    c.sockets = get<std::uint32_t>(limits, "sockets", c.sockets);
+    c.memory_mb = get<std::uint32_t>(limits, "memory_mb", c.memory_mb);
+  }
   if (c.memory_mb < kLeastMemory) fault("limits.memory_mb", "under " + std::to_string(kLeastMemory), find(root, "limits"));
   if (c.sockets < kFewestSockets) fault("limits.sockets", "under " + std::to_string(kFewestSockets), find(root, "limits"));
   if (find(root, "known")) c.known = read_pool_config(object_in(root, "known"));
--- a/src/handover/handover_actor.cpp
+++ b/src/handover/handover_actor.cpp
@@ -59,13 +59,8 @@
       of_backend ? decisions_.post(proxy::Exclude{order.host, order.change == Change::kExclude, owner})
                  : door_.post({order.change == Change::kEvacuate ? proxy::DoorWord::kEvacuate : proxy::DoorWord::kRejoin,
                                false, owner});
-  const auto until = Clock::now() + kOwnerLimit;
-  while (posted && owner->status == 0 && Clock::now() < until) {
-    runtime::Wait wait(scheduler_);
-    wait.notified(owner->done).until(until);
-    co_await wait;
-  }
-  int status = owner->status == 0 ? 503 : owner->status;
+  int status = 503;
+  if (posted) status = co_await proxy::settled(scheduler_, owner, kOwnerLimit);
   if (folder_ && status == 200) {
     // Done here; a yes binds the other process too.
     const auto written_by = Clock::now() + kLockLimit;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -59,8 +59,6 @@
       return "Request Timeout";
     case 409:
       return "Conflict";
-    case 417:
-      return "Expectation Failed";
     case 413:
       return "Content Too Large";
     case 431:
@@ -195,13 +193,17 @@
 }
 
 Progress Parser::feed(std::string& buffer) {
+  const Progress progress = feed_part(buffer);
+  if (progress == Progress::kBad || kind_ == Kind::kResponseHead) return progress;
+  return length_.value_or(0) > kMaxBody || message_.body.size() > kMaxBody ? bad(413) : progress;
+}
+
+Progress Parser::feed_part(std::string& buffer) {
   if (body_ == Body::kUnknown) {
     const Progress head = feed_head(buffer);
     if (head != Progress::kDone || kind_ == Kind::kResponseHead) return head;
-    if (length_.value_or(0) > kMaxBody) return bad(413);
   }
-  const Progress progress = feed_body(buffer, message_.body);
-  return message_.body.size() > kMaxBody ? bad(413) : progress;
+  return feed_body(buffer, message_.body);
 }
 
 Progress Parser::end() {
@@ -333,10 +335,24 @@
   return decoded_ > kMaxStreamed ? bad(413) : progress;
 }
 
+namespace {
+
+std::string framing_line(std::optional<std::uint64_t> length) {
+  return length ? "Content-Length: " + std::to_string(*length) + "\r\n" : "Transfer-Encoding: chunked\r\n";
+}
+
+std::string request_start(std::string_view method, std::string_view target, std::string_view host,
+                          std::string_view extra) {
+  std::string out(method);
+  return out.append(" ").append(target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n").append(extra);
+}
+
+}  // namespace
+
 std::string write_response_head(int status, std::string_view extra, std::optional<std::uint64_t> length, bool close) {
   std::string out = "HTTP/1.1 " + std::to_string(status) + " " + phrase(status) + "\r\n";
   out.append(extra);
-  out += length ? "Content-Length: " + std::to_string(*length) + "\r\n" : "Transfer-Encoding: chunked\r\n";
+  out += framing_line(length);
   if (close) out += "Connection: close\r\n";
   return out += kLineEnd;
 }
@@ -354,17 +370,13 @@
 
 std::string write_request_head(std::string_view method, std::string_view target, std::string_view host,
                                std::string_view extra, std::optional<std::uint64_t> length) {
-  std::string out(method);
-  out.append(" ").append(target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n").append(extra);
-  out += length ? "Content-Length: " + std::to_string(*length) + "\r\n" : "Transfer-Encoding: chunked\r\n";
-  return out += kLineEnd;
+  return request_start(method, target, host, extra) + framing_line(length) + std::string(kLineEnd);
 }
 
 std::string write_request(std::string_view method, std::string_view target, std::string_view host,
                           std::string_view extra, std::string_view body) {
-  std::string out(method);
-  out.append(" ").append(target).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n").append(extra);
-  if (!body.empty() || method == "POST") out += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  std::string out = request_start(method, target, host, extra);
+  if (!body.empty() || method == "POST") out += framing_line(body.size());
   out += kLineEnd;
   return out.append(body);
 }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -57,7 +57,9 @@
 
   // The whole message, up to kMaxBody.
   Progress feed(std::string& buffer);
-  // Or in parts: the head, and then, until kDone, the body's bytes from `buffer` to `out`, up to kMaxStreamed in all.
+  // Or in parts: the head and what there is of the body, up to kMaxStreamed in all, for whoever stops at a part of it.
+  Progress feed_part(std::string& buffer);
+  // Or by themselves: the head, and then, until kDone, the body's bytes from `buffer` to `out`.
   Progress feed_head(std::string& buffer);
   Progress feed_body(std::string& buffer, std::string& out);
   // The peer has ended: kDone if that is how the body ends.
--- a/src/proxy/body_pipe.h
+++ b/src/proxy/body_pipe.h
@@ -26,13 +26,30 @@
  public:
   static constexpr std::size_t kMost = 64 * 1024, kMostWhenShort = 16 * 1024;
 
-  // `to_writer` is notified when there is room again or the reader has gone; it must outlive the pipe's reader.
-  BodyPipe(BodyBudget& budget, runtime::Notifier& to_writer) : budget_(budget), to_writer_(&to_writer) {}
+  explicit BodyPipe(BodyBudget& budget) : budget_(budget) {}
   ~BodyPipe() { budget_.used_ -= bytes_.size(); }
   BodyPipe(const BodyPipe&) = delete;
   BodyPipe& operator=(const BodyPipe&) = delete;
 
   // ---- The writer's side
+  // For as long as the writer is there: `to_writer` is notified when there is room again or the reader has gone. However
+  // the writer ends, a body that is not whole is broken off then, and the notifier not touched any more.
+  class Writing {
+   public:
+    Writing(BodyPipe* pipe, runtime::Notifier& to_writer) : pipe_(pipe) {  // null: there is nothing to write
+      if (pipe_) pipe_->to_writer_ = &to_writer;
+    }
+    ~Writing() {
+      if (!pipe_) return;
+      pipe_->break_off();
+      pipe_->to_writer_ = nullptr;
+    }
+    Writing(const Writing&) = delete;
+    Writing& operator=(const Writing&) = delete;
+
+   private:
+    BodyPipe* pipe_;
+  };
   bool full() const { return bytes_.size() >= (budget_.room() ? kMost : kMostWhenShort); }
   void push(std::string& bytes) {  // takes all of it: the last piece may go beyond
     budget_.used_ += bytes.size();
@@ -42,10 +59,8 @@
   void finish() { end_ = End::kWhole, to_reader_.notify(); }
   void break_off() {  // it will never be whole; nothing after the first end
     if (end_ == End::kOpen) end_ = End::kBroken;
-    to_writer_ = nullptr;
     to_reader_.notify();
   }
-  void notify_writer(runtime::Notifier& to_writer) { to_writer_ = &to_writer; }
   bool unread() const { return gone_; }  // the reader has gone
   // Whether a byte has been taken out: then nobody can have the body from its beginning any more.
   bool begun() const { return begun_; }
@@ -69,7 +84,7 @@
  private:
   enum class End { kOpen, kWhole, kBroken };
   BodyBudget& budget_;
-  runtime::Notifier* to_writer_;
+  runtime::Notifier* to_writer_ = nullptr;
   runtime::Notifier to_reader_;
   std::string bytes_;
   End end_ = End::kOpen;
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -83,7 +83,7 @@
   request.class_id = op.class_id;
   request.tenant = op.tenant;
   request.deadline = op.deadline;
-  request.large = op.large;
+  request.large = op.large();
   drive(request);
   tidy(request.id);
 }
@@ -104,7 +104,7 @@
   --entry.out;
   if (done.result != Result::kConnectFailed && done.result != Result::kMoot) entry.written = true;
   const Operation& op = *entry.operation;
-  const bool spent = op.large && op.payload->rest()->begun();
+  const bool spent = op.large() && op.payload->rest()->begun();
   const std::shared_ptr<BodyPipe> rest = done.reply.rest;
   if (rest) ++backends_[entry.servers[done.attempt]].used;  // until its StreamDone
   if (done.result == Result::kOk && !entry.over) {
@@ -142,7 +142,7 @@
   const Operation& op = *entry.operation;
   RouteStep step{a.id, static_cast<std::uint32_t>(entry.servers.size()), op.deadline, op.deadline, op.wait, op.payload};
   // Past half of its time a client is better told that nothing was sent than kept waiting for a connection.
-  if (!entry.written && entry.out == 0 && !op.large) step.connect_by = op.arrived + (op.deadline - op.arrived) * 9 / 20;
+  if (!entry.written && entry.out == 0 && !op.large()) step.connect_by = op.arrived + (op.deadline - op.arrived) * 9 / 20;
   if (a.time_out > Duration{0}) step.deadline = std::min(step.deadline, now() + a.time_out);
   entry.servers.push_back(a.server);
   ++entry.out;
--- a/src/proxy/front_socket.cpp
+++ b/src/proxy/front_socket.cpp
@@ -238,8 +238,7 @@
   }
   operation->arrived = now();
   operation->wait = wait;
-  operation->large = upload != nullptr;
-  operation->deadline = operation->arrived + wait + (operation->large ? Duration(kUploadGuess) : Duration{0});
+  operation->deadline = operation->arrived + wait + (upload ? Duration(kUploadGuess) : Duration{0});
   operation->deadline = std::min(operation->deadline, course_.answer_by());
   if (!ids_.take(*trace, operation->arrived, operation->deadline + kIdKept)) return {409, nullptr};
   operation->payload = std::make_shared<const HttpPayload>(std::move(request), std::move(upload), length, wait);
@@ -324,8 +323,7 @@
   large_ = false;
   received_ = buffer_.size();
   const auto advance = [&] {
-    if (!parser.head_done()) progress = parser.feed_head(buffer_);
-    if (parser.head_done() && progress != http::Progress::kBad) progress = parser.feed_body(buffer_, body);
+    progress = parser.feed_part(buffer_);
     large_ = progress == http::Progress::kMore && body.size() > http::kMaxBody;
   };
   advance();
@@ -388,8 +386,7 @@
   const bool chunks = request.minor_version >= 1;
   const bool short_of_room = large_ && !door_.bodies_.room();
   std::shared_ptr<BodyPipe> upload;
-  runtime::Notifier early;  // until there is an operation to notify
-  if (large_) upload = std::make_shared<BodyPipe>(door_.bodies_, early);
+  if (large_) upload = std::make_shared<BodyPipe>(door_.bodies_);
   FrontDoor::Target target = door_.target_of(request, parser.length(), upload);
   if (target.error != 0) {
     co_await turn_away(target.error, EndReason::kBadRequest);
@@ -398,13 +395,7 @@
   ++operations_;
   Telemetry::Open open(door_.telemetry_, target.operation->class_id);
   const std::shared_ptr<Operation> operation = std::move(target.operation);
-  struct Breaker {  // however this ends: nobody is to wait for a body that will not come, nor to notify who has gone
-    BodyPipe* pipe;
-    ~Breaker() {
-      if (pipe) pipe->break_off();
-    }
-  } breaker{upload.get()};
-  if (upload) upload->notify_writer(operation->answered);
+  const BodyPipe::Writing writing(upload.get(), operation->answered);
   DecisionMessage arrival(Arrived{operation});
   if (short_of_room || !door_.decisions_.post(std::move(arrival))) {
     operation->answer = BusyReply{};  // nothing has run
@@ -467,18 +458,18 @@
   }
 }
 
-// Moves what has come of a large request's body on.
-FrontSocket::Upload FrontSocket::take_upload(Operation& operation, http::Parser& parser) {
+// Moves what has come of a large request's body on. False: it cannot be read, or its length was wrong.
+bool FrontSocket::take_upload(Operation& operation, http::Parser& parser) {
   BodyPipe& upload = *operation.payload->rest();
   std::string bytes;
   const http::Progress progress = parser.feed_body(buffer_, bytes);
   if (!bytes.empty()) upload.push(bytes);
-  if (progress == http::Progress::kMore) return Upload::kMore;
-  if (progress == http::Progress::kBad || !http::may_begin_request(buffer_)) return Upload::kBad;
+  if (progress == http::Progress::kMore) return true;
+  if (progress == http::Progress::kBad || !http::may_begin_request(buffer_)) return false;
   operation.arrived = now();
   operation.deadline = std::min(operation.arrived + operation.wait, door_.course_.answer_by());
   upload.finish();
-  return Upload::kDone;
+  return true;
 }
 
 // Waits for the operation's answer and for the client's end alike, and passes the rest of a large body on. False: the
@@ -504,7 +495,7 @@
     if (operation->answer || io == Io::kNotified) continue;
     bool spoilt = false, slow = false;
     if (coming && io == Io::kOk) {
-      spoilt = take_upload(*operation, parser) == Upload::kBad;
+      spoilt = !take_upload(*operation, parser);
     } else {
       spoilt = io == Io::kOk && !http::may_begin_request(buffer_);  // its length was wrong
       slow = coming && io == Io::kTimeout;
--- a/src/proxy/front_socket.h
+++ b/src/proxy/front_socket.h
@@ -98,8 +98,7 @@
   runtime::Task<bool> await_answer(const std::shared_ptr<Operation>& operation, http::Parser& parser);
   runtime::Task<bool> pass_on(const Reply& reply, const std::string& extra, bool close, bool chunks);
   runtime::TimePoint whole_by() const;
-  enum class Upload { kMore, kDone, kBad };
-  Upload take_upload(Operation& operation, http::Parser& parser);
+  bool take_upload(Operation& operation, http::Parser& parser);
   runtime::Task<bool> reply(const std::string& bytes, bool close);
   bool parts() const;
 
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -57,8 +57,8 @@
   TenantId tenant = kNoTenant;
   Time arrived{0}, deadline{0};  // of a large one's last byte, once that has come: guessed before
   Duration wait{0};               // that the client will, from its last byte
-  bool large = false;             // its body is not kept, but passed on as it comes
   std::shared_ptr<const Payload> payload;
+  bool large() const { return payload->rest() != nullptr; }  // its body is not kept, but passed on as it comes
   std::optional<Answer> answer;
   runtime::Notifier answered;
 };
@@ -116,6 +116,17 @@
     done.notify();
   }
 };
+// Its status, or 503 where none came within `at_most`.
+inline runtime::Task<int> settled(runtime::Scheduler& scheduler, std::shared_ptr<Asked> asked,
+                                  std::chrono::milliseconds at_most) {
+  const auto until = runtime::Clock::now() + at_most;
+  while (asked->status == 0) {
+    runtime::Wait wait(scheduler);
+    wait.notified(asked->done).until(until);
+    if (co_await wait == runtime::Wake::kTime) co_return 503;
+  }
+  co_return asked->status;
+}
 struct Exclude {  // leave a backend out, or let it serve again, whatever the list says
   std::string host;
   bool out = true;
--- a/src/proxy/peer_actor.cpp
+++ b/src/proxy/peer_actor.cpp
@@ -311,11 +311,8 @@
 Task<bool> PeerActor::pass_on(Connection& connection, http::Parser& parser, std::string& buffer, Exchanged& got,
                               const RouteStep& step) {
   runtime::Notifier room;
-  const auto pipe = std::make_shared<BodyPipe>(pool_.bodies, room);
-  struct Breaker {  // also where this is cancelled: the reader must not wait for ever
-    BodyPipe& pipe;
-    ~Breaker() { pipe.break_off(); }
-  } breaker{*pipe};
+  const auto pipe = std::make_shared<BodyPipe>(pool_.bodies);
+  const BodyPipe::Writing writing(pipe.get(), room);
   StepDone done{step.operation, step.attempt, Result::kOk, got.report, std::move(got.reply)};
   done.reply.rest = pipe;
   got.told = true;
@@ -358,11 +355,9 @@
   http::Progress progress = http::Progress::kMore;
   bool begun = false, large = false;
   const auto advance = [&] {
-    if (!parser.head_done()) progress = parser.feed_head(buffer);
-    if (parser.head_done() && progress != http::Progress::kBad) progress = parser.feed_body(buffer, message.body);
+    progress = parser.feed_part(buffer);
     const bool stated = parser.length().value_or(0) > http::kMaxBody;
-    large = progress == http::Progress::kMore && parser.head_done() &&
-            message.body.size() > (stated ? kFirstPart : http::kMaxBody);
+    large = progress == http::Progress::kMore && message.body.size() > (stated ? kFirstPart : http::kMaxBody);
   };
   while (progress == http::Progress::kMore && !large) {
     const Time until = begun ? std::min(deadline, now() + kAnswerPause) : deadline;
