--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -1,7 +1,6 @@
 #include "wire.h"
 
 #include <array>
-#include <cmath>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -239,7 +238,6 @@
     Json::Value out = row("Relay", a.id);
     ++open_.at(a.id).attempts;
     out["upstream"] = servers_.name(a.server);
-    out["limit"] = Json::Int64(a.time_out.count());
     return out;
   }
   Json::Value put(const Cancel& a) {
@@ -274,11 +272,6 @@
     out["want"] = true;
     return out;
   }
-  Json::Value put(const Log& a) {
-    Json::Value out = row("JournalLine");
-    out["what"] = std::string(a.text) + " " + std::to_string(std::lround(a.value));
-    return out;
-  }
   void end(RequestId id) {
     open_.at(id).over = true;
     touched_.push_back(id);
--- a/include/beechhill/balancer.h
+++ b/include/beechhill/balancer.h
@@ -150,10 +150,9 @@
 
 // ---- Actions
 
-struct Send {
+struct Send {  // an attempt, which lasts until the client quits
   RequestId id = 0;
   ServerId server = 0;
-  Duration time_out{0};  // 0: until the client quits
 };
 
 struct Cancel {
@@ -181,12 +180,7 @@
 
 struct Watch {};  // subscribe to discovery
 
-struct Log {  // a line for whoever carries the pager
-  const char* text = "";
-  double value = 0;
-};
-
-using Action = std::variant<Send, Cancel, Refuse, Fail, Probe, SetTimer, Watch, Log>;
+using Action = std::variant<Send, Cancel, Refuse, Fail, Probe, SetTimer, Watch>;
 
 // One load balancer instance. Equal settings and events give equal actions. Not thread-safe.
 class Balancer {
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -36,7 +36,9 @@
 constexpr double kSmoothing = 0.2;        // weight of a new sample in every moving average
 constexpr double kPrior = 1;              // answers, or utilisation, that a server's kind stands for
 constexpr double kKindPrior = 0.5;        // utilisation that the mean stands for: kinds differ more
-constexpr double kWeightFloor = 0.1;      // of the mean weight
+constexpr double kWeightFloor = 0.1;      // of the mean weight; and no more than its inverse
+constexpr double kMostUtilisation = 8;    // a report beyond either is absurd, and none
+constexpr double kMostRate = 1e5;
 constexpr double kTrickle = 1;            // calls a second, over all instances, that a cold server may get
 constexpr double kRounds = 4;             // over the servers, that own sends are remembered at the least
 constexpr double kRateSpan = 5;           // seconds, memory of the rate of own sends
@@ -263,7 +265,9 @@
     if (!cold(s)) return true;
     // Guards against pushing a cold server over: each instance sends it at most its warmth's share of what
     // a warm peer gets from here, so all together stay under what such a peer takes, let alone the multiple.
-    const double share = warmth(s) * send_rate() / std::max(1, warm_servers_);
+    // Few warm ones may be sent far more than they can do: half of the multiple of an even part is the most.
+    const double peers = static_cast<double>(ups()) * 2 / std::max(2.0, s_.fall_multiple);
+    const double share = warmth(s) * send_rate() / std::max<double>(warm_servers_, peers);
     s.budget.fill(now_, std::max(share, kTrickle / s_.replicas), 1);
     return s.budget.tokens >= 1;
   }
@@ -273,60 +277,62 @@
     if (anywhere(c)) return true;
     const auto& k = settings(c);
     const Attempt& first = c.attempts[*c.maybe_ran];
-    if (k.effect == Effect::kOnce || now_ >= first.sent + k.memory_span) return false;
-    const ServerEntry& e = servers_[first.server].entry;
+    // What is sent now may leave only once a connection stands: then, too, the group must remember the first.
+    if (k.effect == Effect::kOnce || now_ + s_.connect_timeout >= first.sent + k.memory_span) return false;
     if (k.group == Group::kAll) return true;
-    return e.zone == s.entry.zone && (k.group == Group::kZone || e.cell == s.entry.cell);
+    return first.zone == s.entry.zone && (k.group == Group::kZone || first.cell == s.entry.cell);
   }
 
   // Guards against meeting each of many servers so seldom that a slow one is never told: few are in use.
   std::optional<ServerId> pick(const Call& c) {
-    if (few() || choices_++ >= servers_.size() / kSurveyShare) survey();
-    in_use_ = std::min<double>(up_servers_, std::max(kFewServers, seconds(kEvidenceSpan) * send_rate()));
+    survey_now_and_then();
+    in_use_ = std::min<double>(ups(), std::max(kFewServers, seconds(kEvidenceSpan) * send_rate()));
     const auto best = least_loaded(c, in_use_);
     return best ? best : least_loaded(c, kOpen);
   }
 
-  bool few() const { return servers_.size() <= kLookAtAll; }
+  std::size_t ups() const { return std::max<std::size_t>(1, ranked_.size()); }
+  bool few() const { return ranked_.size() <= kLookAtAll; }
 
-  // One of the first so many that are up.
-  ServerId any_of(double first) { return ranked_[static_cast<std::size_t>(uniform() * first)]; }
+  // Shows the first so many that are up, in their order; of many, a sample.
+  template <typename Look>
+  void look_at(std::size_t first, bool all, const Look& look) {
+    for (std::size_t i = 0; i < (all ? first : std::min<std::size_t>(first, kSample)); ++i)
+      look(servers_[ranked_[all ? i : static_cast<std::size_t>(uniform() * static_cast<double>(first))]]);
+  }
 
-  void survey() {  // what the servers show together
+  void survey_now_and_then() {  // what the servers show together
+    if (!few() && choices_++ < ups() / kSurveyShare) return;
     choices_ = 0;
     Evidence all;
-    int warm = 0, present = 0;
+    warm_servers_ = 0;
     std::fill(kinds_.begin(), kinds_.end(), Evidence{});
     std::fill(tallies_.begin(), tallies_.end(), Tally{});
-    for (auto& s : servers_) {
+    const auto each = [&](const auto& look) { look_at(ranked_.size(), true, look); };
+    each([&](Server& s) {
       decay(s);
-      if (!up(s)) continue;
-      warm += !cold(s);
-      ++present;
+      warm_servers_ += !cold(s);
       all += s.own;
       kinds_[s.entry.kind] += s.own;
       for (ClassId c = 0; c < tallies_.size(); ++c) tallies_[c] += s.tallies[c];
-    }
-    warm_servers_ = warm;
-    up_servers_ = std::max(1, present);
+    });
     Tally total;
     for (const Tally& t : tallies_) total += t;
     mean_errors_ = total.errors / (total.tries + 1);
     mean_weight_ = all.utils > 0 && all.rates > 0 ? all.rates / all.utils : 1;
-    mean_excess_ = present > 0 ? 0 : 1;
-    for (const auto& s : servers_) mean_excess_ += up(s) ? excess(s) / present : 0;
+    mean_excess_ = ranked_.size() > 0 ? 0 : 1;
+    each([&](const Server& s) { mean_excess_ += excess(s) / static_cast<double>(ups()); });
   }
 
   std::optional<ServerId> least_loaded(const Call& c, double reach) {
     std::optional<ServerId> best;
     double least = kOpen;
-    const auto consider = [&](ServerId id) {
-      Server& s = servers_[id];
+    const auto consider = [&](Server& s) {
       if (!usable(s) || !group_allows(c, s)) return;
       decay(s);
       double load = s.open + s.recent + s.turn;
       if (s_.cross_zone_price > 0 && s.entry.zone != s_.zone) load += 1;
-      for (const auto& a : c.attempts) load += a.server == id ? 4 : 0;
+      for (const auto& a : c.attempts) load += a.server == s.entry.server ? 4 : 0;
       // Guards against a frozen server holding calls: the longer it says nothing, the more it must be behind.
       const double silence = s.open > 0 ? seconds(now_ - s.waiting_since) / (2 * typical()) : 0;
       load *= (1 + silence * silence) * lag(s) * lag(s);
@@ -334,19 +340,15 @@
       // the next calls to others. Trouble of all, or of the tier below, raises the mean and moves none.
       const double blame = s_.tier + 1 == s_.tier_count ? kErrorLoad : 1;  // above, it may come from below
       load *= 1 + blame * excess_errors(s, c.request.class_id);
-      load /= std::max(relative_weight(s), kWeightFloor) * warmth(s);
+      load /= relative_weight(s) * warmth(s);
       if (load >= least) return;
-      best = id;
+      best = s.entry.server;
       least = load;
     };
-    if (few() || !anywhere(c)) {
-      for (ServerId id = 0; id < servers_.size(); ++id)
-        if (servers_[id].order * up_servers_ <= reach) consider(id);
-    } else if (const auto among = std::min<double>(std::ceil(reach), ranked_.size()); among > 0) {
-      // Guards against a choice that walks a whole big fleet, and against all instances running to the one
-      // server that looks idle to each.
-      for (int i = 0; i < kSample; ++i) consider(any_of(among));
-    }
+    // Guards against a choice that walks a whole big fleet, and against all instances running to the one
+    // server that looks idle to each.
+    const auto first = static_cast<std::size_t>(std::ceil(reach));
+    look_at(std::min(ranked_.size(), first), few() || !anywhere(c), consider);
     return best;
   }
 
@@ -369,7 +371,7 @@
     const Evidence& k = kinds_[s.entry.kind];
     const double kind_pace = (k.paces + kPrior) / (k.answers + kPrior);
     const double pace = (s.own.paces + kPrior * kind_pace) / (s.own.answers + kPrior);
-    return pace * std::min(1.0 / kWeightFloor, relative_weight(s));
+    return pace * relative_weight(s);
   }
 
   // Reported rate over reported utilisation, over the mean of all. A report says as much as its server was
@@ -377,7 +379,8 @@
   double relative_weight(const Server& s) const {
     const Evidence& k = kinds_[s.entry.kind];
     const double kind_weight = (k.rates / mean_weight_ + kKindPrior) / (k.utils + kKindPrior);
-    return (s.own.rates / mean_weight_ + kPrior * kind_weight) / (s.own.utils + kPrior);
+    const double weight = (s.own.rates / mean_weight_ + kPrior * kind_weight) / (s.own.utils + kPrior);
+    return std::clamp(weight, kWeightFloor, 1 / kWeightFloor);
   }
 
   void decay(Server& s) {
@@ -395,24 +398,23 @@
     if (s.open++ == 0) s.waiting_since = now_;
     s.recent += 1;
     s.tallies[c.request.class_id].tries += 1;
-    s.turn = 1 - uniform() * std::max(0.0, 1 - mean_running_ / up_servers_);
+    s.turn = 1 - uniform() * std::max(0.0, 1 - mean_running_ / static_cast<double>(ups()));
     if (cold(s)) s.budget.tokens -= 1;
     note_send();
     Queue& q = queue(c);
     q.running += 1, q.start += guess_;
     levels_[c.level].running += c.width, running_ += c.width;
-    c.attempts.push_back({id, now_, true});
-    c.out += 1;
+    c.attempts.push_back({id, s.life, s.entry.zone, s.entry.cell, now_});
+    c.out = true;
     // No time-out short of the client's: servers go on with abandoned work, which C would then not count.
-    out_->push_back(Send{c.request.id, id, Duration{0}});
+    out_->push_back(Send{c.request.id, id});
   }
 
   // Own sends a second. Decays between sends too: guards against a rare sender's share of a cold server.
-  double send_rate() const { return send_rate_ * std::exp(-seconds(now_ - sent_at_) / kRateSpan); }
+  double send_rate() const { return sent_.now(now_, kRateSpan); }
 
   void note_send() {
-    send_rate_ = send_rate() + 1 / kRateSpan;
-    sent_at_ = now_;
+    sent_.note(now_, kRateSpan);
     retry_tokens_ = std::min(10.0, retry_tokens_ + kRetryShare);
     probe_credit_ =
         std::min(10.0, s_.probe_price > 0 ? probe_credit_ + kProbeCost / s_.probe_price / s_.tier_count : 10);
@@ -422,20 +424,20 @@
 
   void on(const Outcome& o) {
     const auto it = calls_.find(o.id);
-    if (it == calls_.end() || o.attempt >= it->second.attempts.size()) return;
+    if (it == calls_.end() || !it->second.out || o.attempt + 1 != it->second.attempts.size()) return;
     Call& c = it->second;
-    Attempt& a = c.attempts[o.attempt];
-    if (!a.open) return;
-    a.open = false;
-    c.out -= 1;
+    const Attempt a = c.attempts.back();
+    c.out = false;
     Server& s = servers_[a.server];
     const double took = c.request.large ? latency_[c.request.class_id] : seconds(now_ - a.sent);
-    --s.open, s.waiting_since = now_;
     running_ -= c.width, levels_[c.level].running -= c.width;
     Queue& q = queue(c);
     q.running -= 1, q.start -= guess_ - took;
-    observe(a.server, o.report);
-    judge(s, c, o.result, took);
+    if (a.life == s.life) {  // what a former life did says nothing of this one, nor of the load
+      --s.open, s.waiting_since = now_;
+      observe(a.server, o.report);
+      judge(s, c, o.result, took);
+    }
     const bool never_ran =
         o.result == Result::kFull || o.result == Result::kConnectFailed || o.result == Result::kMoot;
     if (!never_ran && !c.maybe_ran) c.maybe_ran = o.attempt;
@@ -463,16 +465,16 @@
     }
     // Lateness has no vote below the first tier: what is held there holds a slot above. Shed at the top.
     const double share = (took / seconds(aim(c)) - kLateShareOfAim) / (1 - kLateShareOfAim);
-    if (lag(s) > 1) {
-      // The trouble is this server's own: it loses its traffic, and C is not the answer.
-    } else if (result == Result::kFull || result == Result::kTimeout || (s_.tier == 0 && ok && share > 0)) {
+    if (result == Result::kFull || result == Result::kTimeout || (s_.tier == 0 && ok && share > 0)) {
       limit_ = std::min(limit_, std::max<double>(running_ + c.width, ordinary(c)));
       const double lateness = ok ? std::min(1.0, share) : 1;  // graded: a long tail must not close C
-      limit_ -= kLimitCut * lateness * c.width * step();
-      limit_ = std::max(limit_, kFloor * warm_servers_ / s_.replicas);
+      // So far as it is this server's own, it loses traffic instead, as much. Not all of it is: where
+      // many lag each would be excused, and C stay open in a jam.
+      limit_ -= kLimitCut * lateness * c.width * step() / (lag(s) * lag(s));
     } else if (ok && limit_ < std::max(kHeadroom * (running_ + c.width), ordinary(c))) {
       limit_ += kLimitGrowth * c.width * step();
     }
+    limit_ = std::max(limit_, kFloor * static_cast<double>(ups()) / s_.replicas);
     if (result == Result::kFull) s.full_until = now_ + from_seconds(typical());
     s.tallies[c.request.class_id].errors +=
         !ok && result != Result::kFull && result != Result::kCancelled && result != Result::kMoot;
@@ -487,7 +489,6 @@
   double step() const { return std::min(1.0, limit_ / kSmallLimit); }
 
   void again(Call& c, bool never_ran, bool spent) {
-    if (c.out > 0) return;  // another copy is still out
     const bool worth_it = !spent && c.attempts.size() < s_.most_tries &&
                           now_ + from_seconds(latency_[c.request.class_id]) < c.request.deadline;
     if (worth_it && !c.maybe_ran && never_ran && now_ < c.hold_until) {
@@ -510,22 +511,21 @@
   // Refuses where the client may safely try again, else reports failure.
   void refuse(Call& c) {
     const auto& k = settings(c);
-    const bool safe = k.effect == Effect::kRepeatable || (!c.maybe_ran && c.out == 0) ||
+    const bool safe = k.effect == Effect::kRepeatable || !c.maybe_ran ||
                       (k.effect == Effect::kKeyed && k.group == Group::kAll);
     out_->push_back(safe ? Action(Refuse{c.request.id, s_.max_retry_after / kAdvice}) : Fail{c.request.id});
     finish(c);
   }
 
-  void finish(Call& c) {  // nothing more is owed: losers are cancelled where that is allowed
+  void finish(Call& c) {  // nothing more is owed: what is still out is cancelled where that is allowed
     c.answered = true;
-    if (!s_.may_cancel || c.streaming) return;
-    for (std::uint32_t i = 0; i < c.attempts.size(); ++i)
-      if (c.attempts[i].open) out_->push_back(Cancel{c.request.id, i});
+    if (!c.out || !s_.may_cancel || c.streaming) return;
+    out_->push_back(Cancel{c.request.id, static_cast<std::uint32_t>(c.attempts.size() - 1)});
   }
 
   void forget(RequestId id) {
     const auto it = calls_.find(id);
-    if (it != calls_.end() && it->second.answered && it->second.out == 0) calls_.erase(it);
+    if (it != calls_.end() && it->second.answered && !it->second.out) calls_.erase(it);
   }
 
   void on(const FirstByte& f) {
@@ -580,37 +580,35 @@
     }
     if (d.kind != ListKind::kLastHeld) watch_failures_ = 0;
     const bool whole = d.kind != ListKind::kChanges;
-    if (whole) {
-      for (auto& s : servers_) s.listed = false;  // absent from a whole list: gone
-      choices_ = servers_.size() + d.entries.size();
-    }
+    ++lists_;
+    choices_ += whole ? servers_.size() + 1 : d.entries.size();  // a list that changes much is summed anew
     for (const auto& e : d.entries) {
       Server& s = server(e.server);
       const bool reborn = e.born && (!s.entry.born || *e.born != *s.entry.born);
       // Numbers are given out again: what comes back after it had gone may be another machine.
-      if (reborn || (s.gone && e.state != ServerState::kRemoved)) restarted(s);
+      if (reborn || !s.listed) restarted(s);
       s.entry = e;
+      s.list = lists_;
       if (kinds_.size() <= e.kind) kinds_.resize(e.kind + 1);
       if (e.born >= s.barred_at) s.back.reset();  // the start after the ban is told
       s.listed = e.state != ServerState::kRemoved;
-      s.gone = s.gone || !s.listed;
       if (!whole) rank(e.server);
     }
     if (!whole) return;
     std::vector<std::pair<double, ServerId>> all;
     for (ServerId id = 0; id < servers_.size(); ++id) {
-      servers_[id].gone = servers_[id].gone || !servers_[id].listed;
-      if (up(servers_[id])) all.emplace_back(servers_[id].order, id);
+      Server& s = servers_[id];
+      s.listed = s.listed && s.list == lists_;  // absent from a whole list: gone
+      if (up(s)) all.emplace_back(s.order, id);
     }
     ranked_.assign(std::move(all));
   }
 
   Server& server(ServerId id) {
-    while (servers_.size() <= id) {  // instances must not start, nor probe, in the same order
-      servers_.emplace_back().turn = uniform();
+    while (servers_.size() <= id) {
+      restarted(servers_.emplace_back());
+      servers_.back().entry.server = static_cast<ServerId>(servers_.size() - 1);
       servers_.back().order = uniform();
-      servers_.back().tallies.resize(s_.classes.size());
-      servers_.back().gone = servers_.size() <= id;  // not in any list yet
     }
     return servers_[id];
   }
@@ -623,9 +621,7 @@
   void on(const Barred& b) {
     Server& s = server(b.server);
     if (s.barred && !b.barred) {  // it was out of use, and may have been started anew: what was known is void
-      const Server former = s;
       restarted(s);
-      s.entry = former.entry, s.listed = former.listed, s.gone = former.gone;
       if (s.entry.born < s.barred_at) s.back = now_;  // no start since is told: it may have been just now
     }
     if (b.barred && !std::exchange(s.barred, b.barred)) s.barred_at = now_;
@@ -643,15 +639,23 @@
     return ranked_.size() == 0 && std::any_of(servers_.begin(), servers_.end(), barred);
   }
 
-  // Instances must not spend their first token together.
-  void restarted(Server& s) { s.start_anew(now_, uniform(), uniform()); }
+  // What was known of its former life is void. Instances must not start with the same server, nor spend their
+  // first token together.
+  void restarted(Server& s) {
+    static_cast<Learned&>(s) = Learned{};
+    ++s.life;
+    s.tallies.resize(s_.classes.size());
+    s.turn = uniform(), s.waiting_since = now_, s.budget = {uniform(), now_};
+  }
 
   void on(const ProbeResult& p) {
     if (p.result == Result::kOk) observe(p.server, p.report);
   }
 
   void observe(ServerId id, const LoadReport& r) {
-    if (id >= servers_.size() || !r.rate_per_s || !r.utilisation) return;
+    const auto within = [](auto& v, double most) { return v && *v >= 0 && *v <= most; };  // no NaN is
+    if (id >= servers_.size() || !within(r.rate_per_s, kMostRate)) return;
+    if (!within(r.utilisation, kMostUtilisation)) return;
     Server& s = servers_[id];
     s.own.rates += *r.rate_per_s - kSmoothing * s.own.rates;
     s.own.utils += *r.utilisation - kSmoothing * s.own.utils;
@@ -669,20 +673,15 @@
       return std::tuple(kinds_[s.entry.kind].utils > kPrior, s.probed_at, s.order);
     };
     const auto consider = [&](Server& s) {
-      if (up(s) && (!oldest || rank(s) < rank(*oldest))) oldest = &s;
+      if (!oldest || rank(s) < rank(*oldest)) oldest = &s;
     };
-    if (few()) {
-      for (auto& s : servers_) consider(s);
-    } else {
-      for (int i = 0; i < kSample && ranked_.size() > 0; ++i)
-        consider(servers_[any_of(static_cast<double>(ranked_.size()))]);
-    }
+    look_at(ranked_.size(), few(), consider);
     if (oldest && probe_credit_ >= 1) {
       probe_credit_ -= 1;
       oldest->probed_at = now_;
       out_->push_back(Probe{oldest->entry.server});
     }
-    timer(kProbeTimer, from_seconds((0.5 + uniform()) * seconds(kProbeEvery) / up_servers_));
+    timer(kProbeTimer, from_seconds((0.5 + uniform()) * seconds(kProbeEvery) / static_cast<double>(ups())));
   }
 
   Settings s_;
@@ -698,12 +697,14 @@
   double guess_ = kOpen;                       // G, seconds: the shortest aim
   double virtual_ = 0, limit_ = kOpen;         // C
   double mean_running_ = 0, overrun_ = 0;      // the latter in widths over C times seconds
-  int running_ = 0, present_ = 0, busy_queues_ = 0, warm_servers_ = 1, up_servers_ = 1, watch_failures_ = 0;
+  int running_ = 0, present_ = 0, busy_queues_ = 0, warm_servers_ = 1, watch_failures_ = 0;
   std::size_t held_ = 0, choices_ = 0;
-  Time next_drop_ = Time::max(), sweep_at_{0}, sent_at_{0};
+  std::uint64_t lists_ = 0;
+  Time next_drop_ = Time::max(), sweep_at_{0};
+  Rate sent_;  // own sends
   std::vector<double> latency_, slow_latency_;  // by class, seconds
   std::vector<Bucket> reserves_;                // by tenant
-  double mean_weight_ = 1, mean_excess_ = 1, mean_errors_ = 0, mean_latency_ = 0, send_rate_ = 0;
+  double mean_weight_ = 1, mean_excess_ = 1, mean_errors_ = 0, mean_latency_ = 0;
   double in_use_ = 1, retry_tokens_ = 3, probe_credit_ = kFirstProbes;
 };
 
--- a/src/emulator/event_queue.h
+++ b/src/emulator/event_queue.h
@@ -16,7 +16,6 @@
   kJobArrives,   // a: job; an attempt's last byte is at its node
   kPhaseDone,    // a: job; its core is free again
   kOutcome,      // a: job; what became of it is back at the proxy
-  kTimeout,      // a: call, b: attempt; its own time-out
   kCancelled,    // a: call, b: attempt
   kDeadline,     // a: call
   kOverdue,      // a: call; the grace after its deadline is over too
--- a/src/emulator/policies.cpp
+++ b/src/emulator/policies.cpp
@@ -127,7 +127,7 @@
     c.tried.push_back(*id);
     c.sent.push_back(now_);
     c.out += 1;
-    out_->push_back(Send{c.request.id, *id, Duration{0}});
+    out_->push_back(Send{c.request.id, *id});
     return true;
   }
 
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -143,7 +143,6 @@
   RouteStep step{a.id, static_cast<std::uint32_t>(entry.servers.size()), op.deadline, op.deadline, op.wait, op.payload};
   // Past half of its time a client is better told that nothing was sent than kept waiting for a connection.
   if (!entry.written && entry.out == 0 && !op.large()) step.connect_by = op.arrived + (op.deadline - op.arrived) * 9 / 20;
-  if (a.time_out > Duration{0}) step.deadline = std::min(step.deadline, now() + a.time_out);
   entry.servers.push_back(a.server);
   ++entry.out;
   Backend& backend = backends_[a.server];
@@ -310,8 +309,4 @@
 
 void DecisionActor::act(const SetTimer& a) { timers_.emplace(a.at, a.token); }
 
-void DecisionActor::act(const Log& a) {
-  log::info("module", {{"text", std::string_view(a.text)}, {"value", a.value}});
-}
-
 }  // namespace beechhill::proxy
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -75,7 +75,6 @@
   void act(const Probe& a);
   void act(const SetTimer& a);
   void act(const Watch&);
-  void act(const Log& a);
 
   runtime::Scheduler& scheduler_;
   PeerFactory make_peer_;
--- a/src/state.h
+++ b/src/state.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -25,8 +26,9 @@
 
 struct Attempt {
   ServerId server = 0;
+  std::uint32_t life = 0;             // of the server, then
+  std::uint32_t zone = 0, cell = 0;  // where the server stood then: its entry may say another place by now
   Time sent{0};
-  bool open = true;
 };
 
 struct Call {  // a request as the module sees it
@@ -40,7 +42,7 @@
   bool streaming = false;
   std::optional<std::size_t> maybe_ran;  // the first attempt that might have run
   std::vector<Attempt> attempts;
-  int out = 0;  // attempts that have no outcome yet
+  bool out = false;  // the last attempt has no outcome yet: there is one at a time
 };
 
 struct Queue {
@@ -67,6 +69,17 @@
   }
 };
 
+struct Rate {  // of what happens now and then, a second; fading
+  double last = 0;
+  Time at{0};
+
+  double now(Time t, double span) const { return last * std::exp(-seconds(t - at) / span); }
+  void note(Time t, double span) {
+    last = now(t, span) + 1 / span;
+    at = t;
+  }
+};
+
 struct Evidence {               // of a server, or summed over its kind; fading
   double rates = 0, utils = 0;  // reported
   double paces = 0;             // times of answers over what their class usually takes
@@ -95,36 +108,27 @@
   }
 };
 
-struct Server {
-  ServerEntry entry;
-  bool listed = false, gone = false;  // gone: left the list, and has not come back
-  bool barred = false;                // by an operator
-  std::optional<Time> barred_at;      // when an operator last left it out
-  std::optional<Time> back;           // since then let serve again: it may have restarted, and the list not say so yet
+struct Learned {  // of one life of a server
   Evidence own;
   std::vector<Tally> tallies;  // by class
   int open = 0;
   double recent = 0;  // decayed count of own sends
-  double order = 0;   // fixed for life, random: the lowest are used first
   double turn = 0;    // random part of one call: peers must not start with the same server
   Time decayed_at{0};
   Time waiting_since{0};  // last sign of life, or when its first open attempt was sent
   Time full_until{0}, probed_at{0};
   Bucket budget;  // while cold, of calls it may be sent from here
+};
 
-  // What was known of its former life is void; what is still out, its rank and an operator's word are not.
-  void start_anew(Time now, double new_turn, double tokens) {
-    const Server former = std::exchange(*this, Server{});
-    tallies.resize(former.tallies.size());
-    open = former.open;
-    order = former.order;
-    barred = former.barred;
-    barred_at = former.barred_at;
-    back = former.back;
-    turn = new_turn;
-    waiting_since = now;
-    budget = {tokens, now};
-  }
+struct Server : Learned {
+  ServerEntry entry;
+  bool listed = false;
+  std::uint64_t list = 0;             // that named it last, by number
+  bool barred = false;                // by an operator
+  std::optional<Time> barred_at;      // when an operator last left it out
+  std::optional<Time> back;           // since then let serve again: it may have restarted, and the list not say so yet
+  double order = 0;                   // fixed for life, random: the lowest are used first
+  std::uint32_t life = 0;             // counted up with each start that is told
 };
 
 }  // namespace beechhill
--- a/tests/driver.h
+++ b/tests/driver.h
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -51,6 +52,7 @@
     balancer_.handle(now, event, out);
     all.insert(all.end(), out.begin(), out.end());
     note(out);
+    if (seen) seen(out);
     return out;
   }
 
@@ -98,6 +100,7 @@
     now = end;
   }
 
+  std::function<void(const std::vector<Action>&)> seen;  // after each event
   Time now{1'000'000};
   std::vector<Action> all;
   std::vector<Send> sends;
