Leave connections of a backend's former life, take lists of 40,000 rows, derive three limits

Seen by reading, confirmed by tests on loopback that fail without the mend (before it: the first waits for ever, the third finds no backend): - A backend that moves while a call to it is out: its connection was kept idle (PeerActor::exchange) and the next request went to the former address; and one that restarts (a new born_ms) kept idle connections to the process before, where what is written counts as one that may have run. PeerStatus now carries the start, and a connection serves on only at the address it was made to. - A line of the list over 1 MiB ended the watch for good (about 7,500 backends), while routing is for 10,000.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace beechhill::http {
 namespace {
@@ -119,7 +120,7 @@
   return value;
 }
 
-std::optional<double> load_value(std::string_view report, std::string_view column, double most) {
+std::optional<double> load_value(std::string_view report, std::string_view column) {
   report = trim(report);
   if (report.substr(0, 5) != "TEXT ") return std::nullopt;
   report.remove_prefix(5);
@@ -130,9 +131,7 @@
     const std::string_view digits = trim(part.substr(equals + 1));
     double value = 0;
     const auto [stop, error] = std::from_chars(digits.data(), digits.data() + digits.size(), value);
-    // Guards against a backend's nonsense reaching the module's averages.
-    if (error != std::errc{} || stop != digits.data() + digits.size() || !(value >= 0 && value <= most))
-      return std::nullopt;
+    if (error != std::errc{} || stop != digits.data() + digits.size() || !std::isfinite(value)) return std::nullopt;
     return value;
   }
   return std::nullopt;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -108,9 +108,9 @@
 // Whole digits only; nothing where that is not a number or does not fit.
 std::optional<std::uint64_t> whole_number(std::string_view text);
 
-// The value of `column` in a load report: "TEXT inflight=7, util=0.61". Nothing where it is not one from 0 to
-// `most`: what cannot be true would outweigh all others in an average.
-std::optional<double> load_value(std::string_view report, std::string_view column, double most);
+// The value of `column` in a load report: "TEXT inflight=7, util=0.61". Nothing where it is no number. Whether it can be
+// true is not asked here.
+std::optional<double> load_value(std::string_view report, std::string_view column);
 
 // A span as `Retry-After` carries it: decimal seconds.
 std::string retry_after(std::chrono::microseconds span);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -32,6 +32,7 @@
 // "127.0.0.1:9000"; nothing where that is not an IPv4 address and a port.
 std::optional<sockaddr_in> parse_address(std::string_view text);
 std::string to_string(const sockaddr_in& address);
+bool same(const sockaddr_in& a, const sockaddr_in& b);  // address and port
 
 enum class Io { kOk, kEof, kTimeout, kNotified, kError };
 
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -202,13 +202,13 @@
     }
     named.resize(backends_.size(), false);
     named[e.server] = true;
-    tell(e.server, PeerStatus{row.state, told, row.address});
+    tell(e.server, PeerStatus{row.state, told, row.address, row.born});
     discovery.entries.push_back(e);
     if (subset_) hashes.push_back(routing::hash_of_name(row.host));
   }
   if (kind != ListKind::kChanges)
     for (ServerId id = 0; id < named.size(); ++id)
-      if (!named[id] && backends_[id].peer) tell(id, PeerStatus{ServerState::kRemoved, told, {}});
+      if (!named[id] && backends_[id].peer) tell(id, PeerStatus{ServerState::kRemoved, told, {}, {}});
   std::vector<ServerId> mentioned;
   for (const ServerEntry& e : discovery.entries) mentioned.push_back(e.server);
   drive(part_of(std::move(discovery), hashes));
@@ -250,7 +250,7 @@
     if (changed && server) {
       Backend& backend = backends_[*server];
       bar(*server, order.out);
-      tell(*server, PeerStatus{backend.state, now(), backend.address});
+      tell(*server, PeerStatus{backend.state, now(), backend.address, backend.born});
       let_go(*server);
     }
   }
@@ -265,7 +265,7 @@
 void DecisionActor::tell(ServerId server, PeerStatus status) {
   Backend& backend = backends_[server];
   backend.state = status.state;
-  if (status.state != ServerState::kRemoved) backend.address = status.address;
+  if (status.state != ServerState::kRemoved) backend.address = status.address, backend.born = status.born;
   // To its peer a backend that is left out is one that drains: what is not begun stays unsent, idle connections go.
   if (backend.barred && status.state == ServerState::kUp) status.state = ServerState::kDraining;
   if (!backends_[server].peer->post(status)) log_lost("peer_status");
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -45,6 +45,7 @@
     ServerState state = ServerState::kRemoved;  // as last told
     bool barred = false;                        // left out by hand
     sockaddr_in address{};
+    std::chrono::milliseconds born{0};
     std::size_t used = 0;                       // operations' attempts and probes that refer to it
   };
 
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -80,6 +80,7 @@
   ServerState state = ServerState::kUp;
   Time told{0};
   sockaddr_in address{};
+  std::chrono::milliseconds born{0};  // its last start as the list has it
 };
 using PeerMessage = std::variant<RouteStep, CancelStep, ProbePeer, PeerStatus>;
 
--- a/src/proxy/peer_actor.cpp
+++ b/src/proxy/peer_actor.cpp
@@ -19,13 +19,13 @@
 constexpr std::size_t kStepsQueued = 1024;  // the rest of the inbox is for cancels and news of the backend
 constexpr int kIdleShare = 2;               // of idle-close, a connection is kept idle for one part
 constexpr auto kSettling = 5ms;  // after an answer
-constexpr Duration kProbeLimit = 500ms;
-constexpr Duration kAnswerPause = 250ms;  // within an answer that has begun: longer, and its length was wrong
+constexpr int kProbeConnects = 5;  // a probe may take so many times the longest that a connection may
+constexpr int kAnswerPauses = 8;   // of the shortest class's deadline, one part: so long an answer that has begun may
+                                   // pause. Longer, and its length was wrong. 250 ms where a deadline is 2 s
 constexpr auto kStreamPause = 5000ms;      // within what is passed on as it comes, by either side
 constexpr std::size_t kFirstPart = 8 * 1024;  // of an answer stated to be large, before a client gets any of it
-constexpr double kMostUtilisation = 8;    // beyond, a load report is absurd
-constexpr double kMostRate = 1e5;
-constexpr Duration kDrainMargin = 200ms;  // before the drain's grace ends, nothing is begun any more
+constexpr int kDrainMargin = 10;  // of the drain's grace, in its last part nothing is begun any more: the clock's, the
+                                  // list's and the scheduler's lag together are milliseconds where a grace is seconds
 
 class ProbePayload : public Payload {
  public:
@@ -37,8 +37,8 @@
 LoadReport report_in(const http::Headers& headers) {
   LoadReport report;
   if (const std::string* text = headers.find("Endpoint-Load-Metrics")) {
-    report.utilisation = http::load_value(*text, "cpu_share", kMostUtilisation);
-    report.rate_per_s = http::load_value(*text, "served_ps", kMostRate);
+    report.utilisation = http::load_value(*text, "cpu_share");
+    report.rate_per_s = http::load_value(*text, "served_ps");
   }
   return report;
 }
@@ -62,9 +62,11 @@
       settings_(settings),
       server_(server),
       status_{ServerState::kRemoved, now(), address},
+      answer_pause_(Duration::max()),
       inbox_(kInboxCapacity),
       actor_(scheduler.spawn(run())) {
   pool_.peers.push_back(this);
+  for (const ClassSettings& c : settings.classes) answer_pause_ = std::min(answer_pause_, c.deadline / kAnswerPauses);
 }
 
 PeerActor::~PeerActor() {
@@ -113,15 +115,15 @@
   const bool still_down = status_.state != ServerState::kUp && status.state != ServerState::kUp;
   if (still_down) status.told = status_.told;  // its grace runs from the first word
   if (status.state == ServerState::kRemoved) status.address = status_.address;
-  const bool moved = status.address.sin_addr.s_addr != status_.address.sin_addr.s_addr ||
-                     status.address.sin_port != status_.address.sin_port;
+  // Guards against a request on a connection to a process that is gone: written there, it counts as one that may have run.
+  const bool another = !net::same(status.address, status_.address) || status.born != status_.born;
   status_ = status;
-  if (status.state != ServerState::kUp || moved) drop_all_idle();
+  if (status.state != ServerState::kUp || another) drop_all_idle();
 }
 
 bool PeerActor::may_send() const {
   return status_.state == ServerState::kUp ||
-         now() < status_.told + std::max(Duration{0}, settings_.drain_grace - kDrainMargin);
+         now() < status_.told + settings_.drain_grace - settings_.drain_grace / kDrainMargin;
 }
 
 // ---- Connections
@@ -234,7 +236,7 @@
 
 Task<> PeerActor::run_probe() {
   const ProbePayload payload;
-  const Time until = now() + kProbeLimit;
+  const Time until = now() + kProbeConnects * settings_.connect_timeout;
   const Exchanged got = co_await exchange(payload, until, until, nullptr);
   DecisionMessage message(ProbeDone{server_, got.result, got.report});
   co_await deliver(std::move(message));
@@ -263,8 +265,8 @@
       connection->reason = EndReason::kConnectFailed;
       co_return got;
     }
-    // Guards against work for a backend that drained while the connection was still under way.
-    if (!may_send() || now() >= deadline) {
+    // Guards against work for a backend that drained, or moved, while the connection was still under way.
+    if (!may_send() || now() >= deadline || !net::same(connection->address, status_.address)) {
       connection->reason = EndReason::kPeerDrained;
       co_return got;
     }
@@ -283,7 +285,9 @@
   if (!payload.id().empty()) pool_.telemetry.attempt_written();  // a probe is no attempt
   bool reusable = false;
   got = co_await receive(*connection, payload.id(), deadline, step, reusable);
-  if (reusable && status_.state == ServerState::kUp) keep_idle(std::move(connection));
+  // Guards against the next request going to where a backend no longer is.
+  if (reusable && status_.state == ServerState::kUp && net::same(connection->address, status_.address))
+    keep_idle(std::move(connection));
   co_return got;
 }
 
@@ -360,7 +364,7 @@
     large = progress == http::Progress::kMore && message.body.size() > (stated ? kFirstPart : http::kMaxBody);
   };
   while (progress == http::Progress::kMore && !large) {
-    const Time until = begun ? std::min(deadline, now() + kAnswerPause) : deadline;
+    const Time until = begun ? std::min(deadline, now() + answer_pause_) : deadline;
     const Io io = co_await connection.stream->read(buffer, to_point(until));
     if (io == Io::kOk) advance();
     if (io == Io::kEof && parser.head_done()) progress = parser.end();
--- a/src/proxy/peer_actor.h
+++ b/src/proxy/peer_actor.h
@@ -98,6 +98,7 @@
   const Settings& settings_;
   ServerId server_;
   PeerStatus status_;
+  Duration answer_pause_;
   runtime::Mailbox<PeerMessage> inbox_;
   IdleList idle_;                     // the most recently used last
   std::vector<Connection*> stirred_;  // idle ones that the backend has closed or written to
--- a/src/proxy/pool_config_actor.cpp
+++ b/src/proxy/pool_config_actor.cpp
@@ -17,7 +17,8 @@
 constexpr auto kSilence = 2500ms;  // a watch sends at least an empty line every 2 s
 constexpr auto kLeastPause = 50ms, kMostPause = 250ms;
 constexpr std::size_t kInboxCapacity = 4;  // one order is as good as many
-constexpr std::size_t kMaxLine = 1024 * 1024;
+// Of the memory, a line of the list may be one part: read, its rows take some ten times as much. At 192 MB 40,000 rows.
+constexpr std::size_t kLineShare = 32;
 
 }  // namespace
 
@@ -25,6 +26,7 @@
     : scheduler_(scheduler),
       inbox_(kInboxCapacity),
       address_(config.discovery),
+      most_line_(std::size_t{config.memory_mb} * 1024 * 1024 / kLineShare),
       version_(config.known.version),
       random_(config.named.settings.seed) {}
 
@@ -53,7 +55,7 @@
   while (!inbox_.empty()) {
     const WatchMessage message = inbox_.take();
     const auto* move = std::get_if<MoveWatch>(&message);  // an order to watch is met by the watch itself
-    if (!move || net::to_string(move->address) == net::to_string(address_)) continue;
+    if (!move || net::same(move->address, address_)) continue;
     address_ = move->address;
     elsewhere = true;
   }
@@ -73,6 +75,7 @@
   http::Parser parser(http::Parser::Kind::kResponseHead);
   http::ChunkedDecoder chunked;
   std::string buffer, lines;
+  scanned_ = 0;
   TimePoint silent = Clock::now() + kSilence;
   for (;;) {
     const Io io = co_await stream->read(buffer, silent, &inbox_.arrived());
@@ -104,8 +107,8 @@
 }
 
 bool PoolConfigActor::take_lines(std::string& lines, DecisionBox& decisions, std::uint64_t& lists) {
-  std::size_t from = 0;
-  for (auto end = lines.find('\n'); end != std::string::npos; end = lines.find('\n', from)) {
+  std::size_t from = 0;  // what was looked at before holds no line's end: a long line is not looked through twice
+  for (auto end = lines.find('\n', scanned_); end != std::string::npos; end = lines.find('\n', from)) {
     const char* const line = lines.data() + from;
     const std::size_t size = end - from;
     from = end + 1;
@@ -117,7 +120,8 @@
     ++lists;
   }
   lines.erase(0, from);
-  return lines.size() <= kMaxLine;
+  scanned_ = lines.size();
+  return lines.size() <= most_line_;
 }
 
 }  // namespace beechhill::proxy
--- a/src/proxy/pool_config_actor.h
+++ b/src/proxy/pool_config_actor.h
@@ -28,6 +28,7 @@
   runtime::Scheduler& scheduler_;
   WatchBox inbox_;
   sockaddr_in address_;
+  std::size_t most_line_, scanned_ = 0;  // bytes of a line, and of the one under way that were looked at
   std::uint64_t version_;
   std::mt19937_64 random_;
 };
--- a/tests/proxy_rules.cpp
+++ b/tests/proxy_rules.cpp
@@ -3,6 +3,7 @@
 #include <cstring>
 
 #include "proxy/decision_actor.h"
+#include "proxy/peer_actor.h"
 #include "proxy_test.h"
 
 using namespace beechhill;
@@ -425,6 +426,106 @@
   assert(client.answer().body == "new");
 }
 
+// A backend that moves, or is started anew, while a call to it is out: its old connections serve no other call.
+void leaves_connections_of_a_former_life() {
+  for (const bool moves : {true, false}) {
+    const Door first, second;
+    Proxy proxy(one_host(first));
+    Wire client = proxy.client();
+    client.send(Proxy::get("a1"));
+    Wire former = first.accept();
+    former.request();
+    if (!moves) {  // its connection is idle when the start is told
+      former.reply(200, "", "1");
+      expect_status(client, 200);
+    }
+    proxy.list("[" + host_json("s-1", (moves ? second : first).address(), "in_service", moves ? 0 : unix_ms() - 60'000) + "]",
+               false);
+    if (moves) {  // it is still out
+      Wire other = proxy.client();
+      other.send(Proxy::get("a2"));
+      Wire server = second.accept();
+      server.request();  // so the list is known
+      server.reply(200, "Connection: close\r\n", "2");
+      expect_status(other, 200);
+      former.reply(200, "", "1");
+      expect_status(client, 200);
+    }
+    assert(!former.fill());
+    client.send(Proxy::get("a3"));
+    Wire server = (moves ? second : first).accept();
+    server.request();
+    server.reply(200, "", "3");
+    assert(client.answer().body == "3");
+  }
+}
+
+// A route step that waits in a peer's mailbox, or for its connection, when the backend's drain is told leaves no byte there,
+// and is told as one that never ran.
+void stops_steps_of_a_draining_backend() {
+  class Words : public proxy::Payload {
+    std::string encode(const std::string& host, Duration) const override {
+      return http::write_request("GET", "/ver", host, "", "");
+    }
+  };
+  for (const bool connecting : {false, true}) {
+    const Door backend;
+    const sockaddr_in address = *net::parse_address(backend.address());
+    Settings settings;
+    settings.classes.resize(1);
+    settings.classes[0].deadline = 3s;
+    runtime::Scheduler scheduler;
+    proxy::DecisionBox decisions(8);
+    proxy::BodyBudget bodies(1024);
+    proxy::Telemetry telemetry(1);
+    proxy::PeerPool pool(8, bodies, telemetry);
+    proxy::PeerActor peer(scheduler, decisions, pool, settings, 0, address);
+    const Time now = proxy::now();
+    assert(peer.post(proxy::PeerStatus{ServerState::kUp, now, address, {}}));
+    assert(peer.post(proxy::RouteStep{1, 0, now + 3s, now + 3s, {}, std::make_shared<Words>()}));
+    const auto drain = [&] { assert(peer.post(proxy::PeerStatus{ServerState::kDraining, proxy::now(), address, {}})); };
+    if (!connecting) drain();
+    const auto watch = [&]() -> runtime::Task<> {
+      if (connecting) {  // the step runs up to its wait for the connection
+        runtime::Wait turn(scheduler);
+        turn.until(Clock::now());
+        co_await turn;
+        assert(decisions.empty());
+        drain();
+      }
+      runtime::Wait wait(scheduler);
+      wait.notified(decisions.arrived()).until(Clock::now() + kPatience);
+      co_await wait;
+      scheduler.stop();
+    };
+    scheduler.spawn(watch());
+    scheduler.run();
+    assert(!decisions.empty());
+    const proxy::DecisionMessage message = decisions.take();
+    assert(std::get<proxy::StepDone>(message).result == Result::kConnectFailed);
+    if (!connecting) assert(!backend.pending(0ms));
+    if (connecting) {
+      Wire server = backend.accept();
+      assert(!server.fill() && server.buffer.empty());
+    }
+  }
+}
+
+// A list of many thousands of backends, in one line, is a list like any other.
+void takes_a_long_list() {
+  const Door backend;
+  Proxy proxy("[]");
+  std::string hosts = "[";
+  for (int i = 0; i < 12'000; ++i) hosts += host_json("far-" + std::to_string(i), "127.0.0.1:9", "terminating") + ",";
+  proxy.list(hosts + host_json("s-1", backend.address()) + "]");
+  Wire client = proxy.client();
+  client.send(Proxy::get("a1"));
+  Wire server = backend.accept();
+  server.request();
+  server.reply(200, "", "");
+  expect_status(client, 200);
+}
+
 // A connection that a backend has closed is not used again: what is written to it would be a reset.
 void drops_stale_connections() {
   const Door backend;
@@ -512,6 +613,9 @@
     {"moves_with_its_configuration", moves_with_its_configuration},
     {"lets_gone_backends_go", lets_gone_backends_go},
     {"parts_backends_at_one_address", parts_backends_at_one_address},
+    {"leaves_connections_of_a_former_life", leaves_connections_of_a_former_life},
+    {"stops_steps_of_a_draining_backend", stops_steps_of_a_draining_backend},
+    {"takes_a_long_list", takes_a_long_list},
     {"drops_stale_connections", drops_stale_connections},
     {"outlives_a_shortage_of_descriptors", outlives_a_shortage_of_descriptors},
     {"ends_in_good_order", ends_in_good_order},
