--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -265,8 +265,8 @@
     if (!cold(s)) return true;
     // Guards against pushing a cold server over: each instance sends it at most its warmth's share of what
     // a warm peer gets from here, so all together stay under what such a peer takes, let alone the multiple.
-    // Few warm ones may be sent far more than they can do: half of the multiple of an even part is the most.
-    const double peers = static_cast<double>(ups()) * 2 / std::max(2.0, s_.fall_multiple);
+    // Few warm ones may be sent more than they can do: two thirds of the multiple of an even part is the most.
+    const double peers = static_cast<double>(ups()) * 1.5 / std::max(1.5, s_.fall_multiple);
     const double share = warmth(s) * send_rate() / std::max<double>(warm_servers_, peers);
     s.budget.fill(now_, std::max(share, kTrickle / s_.replicas), 1);
     return s.budget.tokens >= 1;
