--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -265,7 +265,7 @@
     if (!cold(s)) return true;
     // Guards against pushing a cold server over: each instance sends it at most its warmth's share of what
     // a warm peer gets from here, so all together stay under what such a peer takes, let alone the multiple.
-    // Few warm ones may be sent more than they can do: two thirds of the multiple of an even part is the most.
+    // Few warm ones may be sent more than they can do: two thirds of the multiple of an even part at most.
     const double peers = static_cast<double>(ups()) * 1.5 / std::max(1.5, s_.fall_multiple);
     const double share = warmth(s) * send_rate() / std::max<double>(warm_servers_, peers);
     s.budget.fill(now_, std::max(share, kTrickle / s_.replicas), 1);
@@ -347,8 +347,7 @@
     };
     // Guards against a choice that walks a whole big fleet, and against all instances running to the one
     // server that looks idle to each.
-    const auto first = static_cast<std::size_t>(std::ceil(reach));
-    look_at(std::min(ranked_.size(), first), few() || !anywhere(c), consider);
+    look_at(std::min<double>(ranked_.size(), std::ceil(reach)), few() || !anywhere(c), consider);
     return best;
   }
 
