Keep the rate of own sends in the module again; work the answer pause out once

Rate in state.h was made for a second user that was taken back: its arithmetic is the module's again, as it was before. The longest pause within an answer is the same for all backends: PeerPool works it out once, not each peer.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -410,10 +410,11 @@
   }
 
   // Own sends a second. Decays between sends too: guards against a rare sender's share of a cold server.
-  double send_rate() const { return sent_.now(now_, kRateSpan); }
+  double send_rate() const { return send_rate_ * std::exp(-seconds(now_ - sent_at_) / kRateSpan); }
 
   void note_send() {
-    sent_.note(now_, kRateSpan);
+    send_rate_ = send_rate() + 1 / kRateSpan;
+    sent_at_ = now_;
     retry_tokens_ = std::min(10.0, retry_tokens_ + kRetryShare);
     probe_credit_ =
         std::min(10.0, s_.probe_price > 0 ? probe_credit_ + kProbeCost / s_.probe_price / s_.tier_count : 10);
@@ -699,11 +700,10 @@
   int running_ = 0, present_ = 0, busy_queues_ = 0, warm_servers_ = 1, watch_failures_ = 0;
   std::size_t held_ = 0, choices_ = 0;
   std::uint64_t lists_ = 0;
-  Time next_drop_ = Time::max(), sweep_at_{0};
-  Rate sent_;  // own sends
+  Time next_drop_ = Time::max(), sweep_at_{0}, sent_at_{0};
   std::vector<double> latency_, slow_latency_;  // by class, seconds
   std::vector<Bucket> reserves_;                // by tenant
-  double mean_weight_ = 1, mean_excess_ = 1, mean_errors_ = 0, mean_latency_ = 0;
+  double mean_weight_ = 1, mean_excess_ = 1, mean_errors_ = 0, mean_latency_ = 0, send_rate_ = 0;
   double in_use_ = 1, retry_tokens_ = 3, probe_credit_ = kFirstProbes;
 };
 
--- a/src/proxy/peer_actor.cpp
+++ b/src/proxy/peer_actor.cpp
@@ -54,6 +54,11 @@
 
 }  // namespace
 
+PeerPool::PeerPool(std::size_t descriptors, BodyBudget& pipes, Telemetry& figures, const Settings& settings)
+    : budget(descriptors), bodies(pipes), telemetry(figures) {
+  for (const ClassSettings& c : settings.classes) answer_pause = std::min(answer_pause, c.deadline / kAnswerPauses);
+}
+
 PeerActor::PeerActor(runtime::Scheduler& scheduler, DecisionBox& decisions, PeerPool& pool,
                      const Settings& settings, ServerId server, sockaddr_in address)
     : scheduler_(scheduler),
@@ -62,11 +67,9 @@
       settings_(settings),
       server_(server),
       status_{ServerState::kRemoved, now(), address},
-      answer_pause_(Duration::max()),
       inbox_(kInboxCapacity),
       actor_(scheduler.spawn(run())) {
   pool_.peers.push_back(this);
-  for (const ClassSettings& c : settings.classes) answer_pause_ = std::min(answer_pause_, c.deadline / kAnswerPauses);
 }
 
 PeerActor::~PeerActor() {
@@ -364,7 +367,7 @@
     large = progress == http::Progress::kMore && message.body.size() > (stated ? kFirstPart : http::kMaxBody);
   };
   while (progress == http::Progress::kMore && !large) {
-    const Time until = begun ? std::min(deadline, now() + answer_pause_) : deadline;
+    const Time until = begun ? std::min(deadline, now() + pool_.answer_pause) : deadline;
     const Io io = co_await connection.stream->read(buffer, to_point(until));
     if (io == Io::kOk) advance();
     if (io == Io::kEof && parser.head_done()) progress = parser.end();
--- a/src/proxy/peer_actor.h
+++ b/src/proxy/peer_actor.h
@@ -21,12 +21,12 @@
 
 // What all peers share: the descriptors they may hold, and each other's idle connections.
 struct PeerPool {
-  PeerPool(std::size_t descriptors, BodyBudget& pipes, Telemetry& figures)
-      : budget(descriptors), bodies(pipes), telemetry(figures) {}
+  PeerPool(std::size_t descriptors, BodyBudget& pipes, Telemetry& figures, const Settings& settings);
   FdBudget budget;
   BodyBudget& bodies;
   Telemetry& telemetry;
   std::vector<PeerActor*> peers;
+  Duration answer_pause = Duration::max();  // the longest within an answer that has begun
 };
 
 class PeerActor : public Peer {
@@ -98,7 +98,6 @@
   const Settings& settings_;
   ServerId server_;
   PeerStatus status_;
-  Duration answer_pause_;
   runtime::Mailbox<PeerMessage> inbox_;
   IdleList idle_;                     // the most recently used last
   std::vector<Connection*> stirred_;  // idle ones that the backend has closed or written to
--- a/src/proxy/serve.cpp
+++ b/src/proxy/serve.cpp
@@ -127,7 +127,7 @@
   const Shares shares(config.sockets - kOtherDescriptors - admin::kMostCallers);
   Telemetry telemetry(config.named.classes.size());
   BodyBudget bodies(body_bytes(config));
-  PeerPool pool(shares.peers(), bodies, telemetry);
+  PeerPool pool(shares.peers(), bodies, telemetry, config.named.settings);
   const auto make_peer = [&](DecisionBox& inbox, ServerId server, const sockaddr_in& address) {
     return std::make_unique<PeerActor>(scheduler, inbox, pool, config.named.settings, server, address);
   };
--- a/src/state.h
+++ b/src/state.h
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -69,17 +68,6 @@
   }
 };
 
-struct Rate {  // of what happens now and then, a second; fading
-  double last = 0;
-  Time at{0};
-
-  double now(Time t, double span) const { return last * std::exp(-seconds(t - at) / span); }
-  void note(Time t, double span) {
-    last = now(t, span) + 1 / span;
-    at = t;
-  }
-};
-
 struct Evidence {               // of a server, or summed over its kind; fading
   double rates = 0, utils = 0;  // reported
   double paces = 0;             // times of answers over what their class usually takes
--- a/tests/proxy_rules.cpp
+++ b/tests/proxy_rules.cpp
@@ -478,7 +478,7 @@
     proxy::DecisionBox decisions(8);
     proxy::BodyBudget bodies(1024);
     proxy::Telemetry telemetry(1);
-    proxy::PeerPool pool(8, bodies, telemetry);
+    proxy::PeerPool pool(8, bodies, telemetry, settings);
     proxy::PeerActor peer(scheduler, decisions, pool, settings, 0, address);
     const Time now = proxy::now();
     assert(peer.post(proxy::PeerStatus{ServerState::kUp, now, address, {}}));
