Keep calls in their data centre until it is nearly full, then spread them

Cause: least_loaded added a constant 1 to the load of a server elsewhere; load counts own sends of some rounds (4 a server and more), so 1 decides next to nothing and almost half of all calls crossed. Balancer's unused move operations go. Tests: Zones.*, each fails without its part (constant 1; without C's binding; without the spread).

--- a/include/beechhill/balancer.h
+++ b/include/beechhill/balancer.h
@@ -188,8 +188,6 @@
   // Throws what validate throws.
   Balancer(Time now, Settings settings, std::vector<Action>& actions);
   ~Balancer();
-  Balancer(Balancer&&) noexcept;
-  Balancer& operator=(Balancer&&) noexcept;
 
   // Takes one event that happened at `now` and appends the actions to carry out, in order.
   void handle(Time now, const Event& event, std::vector<Action>& actions);
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -22,7 +22,6 @@
 constexpr double kAssured = 100;          // shares split among levels by worth; as many stay unassured
 constexpr double kLateShareOfAim = 0.5;   // an attempt that takes longer counts as timed out for C
 constexpr double kLimitCut = 2.0;         // widths taken off C by one that was not accepted in time
-constexpr double kHeadroom = 1.25;        // C binds, and may grow, under this multiple of what runs
 constexpr double kChance = 2;             // standard deviations of what runs that an idle C leaves room for
 constexpr double kLimitGrowth = 0.2;      // widths added by one that was, while C binds: 1 in 11 may be late
 constexpr double kReserve = 4;            // requests that a tenant may send ahead of its share, at the least
@@ -39,6 +38,9 @@
 constexpr double kWeightFloor = 0.1;      // of the mean weight; and no more than its inverse
 constexpr double kMostUtilisation = 8;    // a report beyond either is absurd, and none
 constexpr double kMostRate = 1e5;
+constexpr double kRoomy = 0.8;            // use of the own zone where others begin to help; 0.7 to 0.8 alike
+constexpr double kStay = 16;              // calls that another zone weighs half way from there; 8 to 32 alike
+constexpr double kHomeSpan = 2;           // seconds, memory of that utilisation; 1 to 4 alike
 constexpr double kTrickle = 1;            // calls a second, over all instances, that a cold server may get
 constexpr double kRounds = 4;             // over the servers, that own sends are remembered at the least
 constexpr double kRateSpan = 5;           // seconds, memory of the rate of own sends
@@ -60,17 +62,14 @@
 
 class Balancer::Impl {
  public:
-  Impl(Time now, Settings settings) : s_(std::move(settings)), now_(now), random_(s_.seed) {
+  Impl(Time now, Settings settings, std::vector<Action>& out)
+      : s_(std::move(settings)), now_(now), random_(s_.seed), out_(&out) {
     validate(s_);
     make_levels();
     for (const auto& c : s_.classes) guess_ = std::min(guess_, seconds(c.aim));
     tallies_.resize(s_.classes.size());
     latency_ = slow_latency_ = std::vector<double>(s_.classes.size(), 0);
     reserves_.assign(s_.tenants.size(), {kOpen, now});  // full
-  }
-
-  void start(std::vector<Action>& out) {
-    out_ = &out;
     // Instances often start together: each asks discovery at a moment of its own.
     if (s_.must_ask_discovery) timer(kWatchTimer, from_seconds(uniform() * seconds(s_.ask_within) / 4));
     if (s_.reports_need_probes && s_.may_probe) timer(kProbeTimer, from_seconds(uniform()));
@@ -327,11 +326,12 @@
   std::optional<ServerId> least_loaded(const Call& c, double reach) {
     std::optional<ServerId> best;
     double least = kOpen;
+    const double far = detour();
     const auto consider = [&](Server& s) {
       if (!usable(s) || !group_allows(c, s)) return;
       decay(s);
       double load = s.open + s.recent + s.turn;
-      if (s_.cross_zone_price > 0 && s.entry.zone != s_.zone) load += 1;
+      if (s.entry.zone != s_.zone) load += far;
       for (const auto& a : c.attempts) load += a.server == s.entry.server ? 4 : 0;
       // Guards against a frozen server holding calls: the longer it says nothing, the more it must be behind.
       const double silence = s.open > 0 ? seconds(now_ - s.waiting_since) / (2 * typical()) : 0;
@@ -351,6 +351,15 @@
     return best;
   }
 
+  // What a server of another zone weighs more where crossing has a price; a fixed step sends a part across
+  // always. Calls stay while home has room, and spread evenly once it is full, as C's binding tells too.
+  double detour() const {
+    if (s_.cross_zone_price <= 0) return 0;
+    const double busy = std::max(home_.mean(now_, kHomeSpan), (running_ + 1) / limit_);
+    const double need = std::clamp((busy - kRoomy) / (1 - kRoomy), 1e-3, 1.0);
+    return kStay * (1 - need) / need;
+  }
+
   // Errors beyond the mean's and chance's. None for a class that the server does no worse than its peers: one
   // that fails another class only must keep this one, or its peers get more than they can do.
   double excess_errors(const Server& s, ClassId id) const {
@@ -399,7 +408,10 @@
     s.tallies[c.request.class_id].tries += 1;
     s.turn = 1 - uniform() * std::max(0.0, 1 - mean_running_ / static_cast<double>(ups()));
     if (cold(s)) s.budget.tokens -= 1;
-    note_send();
+    sends_.add(now_, kRateSpan, 1);
+    retry_tokens_ = std::min(10.0, retry_tokens_ + kRetryShare);
+    const double credit = s_.probe_price > 0 ? kProbeCost / s_.probe_price / s_.tier_count : 10;
+    probe_credit_ = std::min(10.0, probe_credit_ + credit);
     Queue& q = queue(c);
     q.running += 1, q.start += guess_;
     levels_[c.level].running += c.width, running_ += c.width;
@@ -410,15 +422,7 @@
   }
 
   // Own sends a second. Decays between sends too: guards against a rare sender's share of a cold server.
-  double send_rate() const { return send_rate_ * std::exp(-seconds(now_ - sent_at_) / kRateSpan); }
-
-  void note_send() {
-    send_rate_ = send_rate() + 1 / kRateSpan;
-    sent_at_ = now_;
-    retry_tokens_ = std::min(10.0, retry_tokens_ + kRetryShare);
-    probe_credit_ =
-        std::min(10.0, s_.probe_price > 0 ? probe_credit_ + kProbeCost / s_.probe_price / s_.tier_count : 10);
-  }
+  double send_rate() const { return sends_.count(now_, kRateSpan) / kRateSpan; }
 
   // ---- Outcomes
 
@@ -464,14 +468,15 @@
       mean_latency_ += (mean_latency_ > 0 ? kSmoothing / 4 : 1) * (took - mean_latency_);
     }
     // Lateness has no vote below the first tier: what is held there holds a slot above. Shed at the top.
+    const double busy = std::max<double>(running_ + c.width, ordinary(c));  // C binds, and may grow, below
     const double share = (took / seconds(aim(c)) - kLateShareOfAim) / (1 - kLateShareOfAim);
     if (result == Result::kFull || result == Result::kTimeout || (s_.tier == 0 && ok && share > 0)) {
-      limit_ = std::min(limit_, std::max<double>(running_ + c.width, ordinary(c)));
+      limit_ = std::min(limit_, busy);
       const double lateness = ok ? std::min(1.0, share) : 1;  // graded: a long tail must not close C
       // So far as it is this server's own, it loses traffic instead, as much. Not all of it is: where
       // many lag each would be excused, and C stay open in a jam.
       limit_ -= kLimitCut * lateness * c.width * step() / (lag(s) * lag(s));
-    } else if (ok && limit_ < std::max(kHeadroom * (running_ + c.width), ordinary(c))) {
+    } else if (ok && limit_ < busy) {
       limit_ += kLimitGrowth * c.width * step();
     }
     limit_ = std::max(limit_, kFloor * static_cast<double>(ups()) / s_.replicas);
@@ -657,6 +662,7 @@
     if (id >= servers_.size() || !within(r.rate_per_s, kMostRate)) return;
     if (!within(r.utilisation, kMostUtilisation)) return;
     Server& s = servers_[id];
+    if (s.entry.zone == s_.zone) home_.add(now_, kHomeSpan, *r.utilisation);
     s.own.rates += *r.rate_per_s - kSmoothing * s.own.rates;
     s.own.utils += *r.utilisation - kSmoothing * s.own.utils;
   }
@@ -687,9 +693,10 @@
   Settings s_;
   Time now_;
   std::mt19937_64 random_;
-  std::vector<Action>* out_ = nullptr;
+  std::vector<Action>* out_;
   std::vector<Level> levels_;
   std::vector<Server> servers_;
+  Gauge home_, sends_;  // utilisation that the servers of the own zone report; own sends
   RankedSet ranked_;  // those that are up, by their order
   std::vector<Evidence> kinds_;                // by kind, summed
   std::vector<Tally> tallies_;                 // by class, summed
@@ -700,20 +707,16 @@
   int running_ = 0, present_ = 0, busy_queues_ = 0, warm_servers_ = 1, watch_failures_ = 0;
   std::size_t held_ = 0, choices_ = 0;
   std::uint64_t lists_ = 0;
-  Time next_drop_ = Time::max(), sweep_at_{0}, sent_at_{0};
+  Time next_drop_ = Time::max(), sweep_at_{0};
   std::vector<double> latency_, slow_latency_;  // by class, seconds
   std::vector<Bucket> reserves_;                // by tenant
-  double mean_weight_ = 1, mean_excess_ = 1, mean_errors_ = 0, mean_latency_ = 0, send_rate_ = 0;
+  double mean_weight_ = 1, mean_excess_ = 1, mean_errors_ = 0, mean_latency_ = 0;
   double in_use_ = 1, retry_tokens_ = 3, probe_credit_ = kFirstProbes;
 };
 
 Balancer::Balancer(Time now, Settings settings, std::vector<Action>& actions)
-    : impl_(std::make_unique<Impl>(now, std::move(settings))) {
-  impl_->start(actions);
-}
+    : impl_(std::make_unique<Impl>(now, std::move(settings), actions)) {}
 Balancer::~Balancer() = default;
-Balancer::Balancer(Balancer&&) noexcept = default;
-Balancer& Balancer::operator=(Balancer&&) noexcept = default;
 
 void Balancer::handle(Time now, const Event& event, std::vector<Action>& actions) {
   impl_->handle(now, event, actions);
--- a/src/state.h
+++ b/src/state.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <cstdint>
 #include <deque>
 #include <optional>
@@ -68,6 +69,24 @@
   }
 };
 
+struct Gauge {  // how much came lately, and how high; fading
+  double sum = 0, weight = 0;
+  Time at{0};
+
+  void add(Time now, double span_s, double value) {
+    const double kept = faded(now, span_s);
+    sum = sum * kept + value, weight = weight * kept + 1, at = now;
+  }
+  double count(Time now, double span_s) const { return weight * faded(now, span_s); }
+  double mean(Time now, double span_s) const {  // towards 0 with time, as if one more value had been 0
+    const double kept = faded(now, span_s);
+    return sum * kept / (weight * kept + 1);
+  }
+
+ private:
+  double faded(Time now, double span_s) const { return std::exp(-seconds(now - at) / span_s); }
+};
+
 struct Evidence {               // of a server, or summed over its kind; fading
   double rates = 0, utils = 0;  // reported
   double paces = 0;             // times of answers over what their class usually takes
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -689,5 +689,72 @@
   EXPECT_GE(sent, 3u);
 }
 
+// ---- Zones, where crossing has a price
+
+Settings priced_zones() {
+  Settings s = basic_settings();
+  s.cross_zone_price = 0.05;
+  return s;
+}
+
+// Calls that come at intervals of 20 ms and take 200 ms; what of them crosses where the own zone reports `used`.
+double crossing_share(double used) {
+  Driver d(priced_zones());
+  Discovery list{ListKind::kFull, {}};
+  for (ServerId id = 0; id < 8; ++id) list.entries.push_back({id, ServerState::kUp, id % 2, id % 2, {}});
+  d.give(list);
+  std::size_t done = 0, crossed = 0;
+  for (RequestId id = 1; id <= 600; ++id, d.pass(milliseconds(20))) {
+    d.request(id);
+    for (; d.sends.size() > done + 10; ++done) {
+      const Send& s = d.sends[done];
+      const double busy = s.server % 2 == 0 ? used : 0.1;
+      d.give(Outcome{s.id, 0, Result::kOk, true, {busy, 10 * busy}});
+    }
+  }
+  for (const Send& s : d.sends) crossed += s.id > 200 && s.server % 2 == 1;
+  return static_cast<double>(crossed) / 400;
+}
+
+// Own sends alone would spread calls over both zones from the first on, each at the price.
+TEST(Zones, CallsStayHomeWhileItHasRoom) {
+  EXPECT_EQ(crossing_share(0.2), 0);
+  EXPECT_EQ(crossing_share(0.6), 0);
+}
+
+// The more home is used, the more goes elsewhere, and no more than an even part.
+TEST(Zones, CallsSpreadAsHomeFills) {
+  const double nearly = crossing_share(0.95), full = crossing_share(1.3);
+  EXPECT_GT(nearly, 0.05);
+  EXPECT_GT(full, nearly);
+  EXPECT_LE(full, 0.55);
+}
+
+// Where nothing is reported, C that binds tells that home is full.
+TEST(Zones, CallsSpreadWhereCBindsWithoutReports) {
+  Driver d(priced_zones());
+  d.change({0, ServerState::kUp, 0, 0, {}});
+  d.change({1, ServerState::kUp, 1, 1, {}});
+  RequestId id = 0;
+  for (int round = 0; round < 30; ++round) {  // each home call is late: C comes down to its floor
+    const RequestId late = ++id;
+    d.request(late);
+    d.pass(milliseconds(990));
+    d.outcome(late, 0, Result::kOk);
+  }
+  const std::size_t before = d.sends.size();
+  while (d.request(++id).size() > 0 && id < 100) continue;
+  EXPECT_GT(d.sends.size() - before, 3u);
+  EXPECT_TRUE(std::any_of(d.sends.begin(), d.sends.end(), [](auto& s) { return s.server == 1; }));
+}
+
+// A home without servers that may be sent to is no reason to wait.
+TEST(Zones, CallsCrossAtOnceWhereHomeHasNone) {
+  Driver d(priced_zones());
+  d.change({0, ServerState::kDraining, 0, 0, {}});
+  d.change({1, ServerState::kUp, 1, 1, {}});
+  EXPECT_EQ(count<Send>(d.request(1)), 1u);
+}
+
 }  // namespace
 }  // namespace beechhill::test
