--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -38,8 +38,8 @@
 constexpr double kWeightFloor = 0.1;      // of the mean weight; and no more than its inverse
 constexpr double kMostUtilisation = 8;    // a report beyond either is absurd, and none
 constexpr double kMostRate = 1e5;
-constexpr double kRoomy = 0.8;            // use of the own zone where others begin to help; 0.7 to 0.8 alike
-constexpr double kStay = 16;              // calls that another zone weighs half way from there; 8 to 32 alike
+constexpr double kRoomy = 0.8;            // use of the own zone where others begin to help; 0.6 to 0.85 alike
+constexpr double kStay = 32;              // calls that another zone weighs up to there, then less; 16 to 64 alike
 constexpr double kHomeSpan = 2;           // seconds, memory of that utilisation; 1 to 4 alike
 constexpr double kTrickle = 1;            // calls a second, over all instances, that a cold server may get
 constexpr double kRounds = 4;             // over the servers, that own sends are remembered at the least
@@ -356,8 +356,7 @@
   double detour() const {
     if (s_.cross_zone_price <= 0) return 0;
     const double busy = std::max(home_.mean(now_, kHomeSpan), (running_ + 1) / limit_);
-    const double need = std::clamp((busy - kRoomy) / (1 - kRoomy), 1e-3, 1.0);
-    return kStay * (1 - need) / need;
+    return kStay * std::clamp((1 - busy) / (1 - kRoomy), 0.0, 1.0);
   }
 
   // Errors beyond the mean's and chance's. None for a class that the server does no worse than its peers: one
