--- a/src/emulator/metrics.cpp
+++ b/src/emulator/metrics.cpp
@@ -143,6 +143,7 @@
   v["attempts"] = number(attempts);
   v["tries_per_request"] = all.asked > 0 ? static_cast<double>(tries) / static_cast<double>(all.asked) : 0;
   v["attempts_per_request"] = all.asked > 0 ? static_cast<double>(attempts) / static_cast<double>(all.asked) : 0;
+  v["crossings_per_request"] = all.asked > 0 ? static_cast<double>(crossings) / static_cast<double>(all.asked) : 0;
   v["connections"] = number(connections);
   v["connected_pairs"] = number(pairs);
   v["probes"] = number(probes);
--- a/src/emulator/metrics.h
+++ b/src/emulator/metrics.h
@@ -61,6 +61,7 @@
   std::vector<Second> seconds;
   std::uint64_t tries = 0, attempts = 0, connections = 0, probes = 0, unreachable = 0, tipped = 0;
   std::uint64_t pairs = 0;  // proxy and node that ever had a connection
+  std::uint64_t crossings = 0;  // attempts between zones, of all tiers
   double work_done = 0, work_useful = 0;  // core-seconds at speed 1
   std::uint64_t events = 0, decisions = 0;
   std::vector<Json::Value> tiers;
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -202,6 +202,9 @@
   s.clients.longest_advice = c.span("longest_advice", s.clients.longest_advice);
   s.clients.patience = c.range("patience", s.clients.patience, 0.01, 1);
   s.clients.connections = static_cast<std::uint32_t>(c.integer("connections", 200, 1, 10'000'000));
+  s.clients.first_zone = c.number("first_zone", 0, 0, 1);
+  if (s.clients.first_zone > 0 && (s.tiers[0].zones < 2 || s.proxies < s.tiers[0].zones))
+    c.fault("first_zone", "needs two zones in the first tier, and a proxy in each");
   c.finish();
 
   TomlReader routing = r.table("routing");
--- a/src/emulator/scenario.h
+++ b/src/emulator/scenario.h
@@ -72,6 +72,7 @@
   double growth = 2;          // of the wait, with each retry
   Range patience{1, 1};       // a try's part of the class's deadline
   std::uint32_t connections = 200;  // over which requests come; each stays at one proxy
+  double first_zone = 0;  // part of the connections at proxies of the first zone; 0: dealt to all proxies alike
 };
 
 enum class FaultKind {
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -30,8 +30,13 @@
     for (std::uint32_t i = 0; i < s_.tiers[t].nodes; ++i) add_node(t, std::nullopt);
   for (std::uint32_t p = 0; p < proxies_.size(); ++p) start_proxy(p);
   connections_.resize(s_.clients.connections);
-  for (std::size_t i = 0; i < connections_.size(); ++i)
-    connections_[i] = static_cast<std::uint32_t>(i % s_.proxies);
+  std::vector<std::uint32_t> first, others;  // proxies, by their zone
+  for (const std::uint32_t p : by_tier_[0]) (s_.clients.first_zone > 0 && proxies_[p].zone == 0 ? first : others).push_back(p);
+  const auto in_first = static_cast<std::size_t>(s_.clients.first_zone * static_cast<double>(connections_.size()));
+  for (std::size_t i = 0; i < connections_.size(); ++i) {
+    const std::vector<std::uint32_t>& among = i < in_first ? first : others;
+    connections_[i] = among[i % among.size()];
+  }
   for (std::size_t f = 0; f < s_.faults.size(); ++f) queue_.add(s_.faults[f].at, Kind::kFaultBegins, f);
   end_ = s_.length + longest_deadline(s_) + s_.answer_grace + std::chrono::seconds(1);
   metrics_.seconds.resize(static_cast<std::size_t>(to_s(end_)) + 1);
@@ -229,6 +234,7 @@
     return;
   }
   if (p.tier == 0 && metrics_.counted(now_)) ++metrics_.attempts;
+  if (metrics_.counted(now_)) metrics_.crossings += p.zone != nodes_[p.tier][a.server].entry.zone;
   if (Second* w = metrics_.second_of(now_)) ++w->attempts;
   NodeState& n = nodes_[p.tier][a.server];
   const TierSpec& spec = s_.tiers[p.tier];
--- a/tests/emulator_test.cpp
+++ b/tests/emulator_test.cpp
@@ -310,6 +310,24 @@
   EXPECT_THROW(scenario_of(""), config::TomlFault);
 }
 
+// Two data centres with four fifths of the traffic in one: calls stay while it has room, and help comes as it fills.
+TEST(TwoCentres, CallsCrossAsTheirOwnFills) {
+  const auto played = [](double load) {
+    Scenario s = shipped("two-centres");
+    s.length = std::chrono::seconds(15);
+    s.load.utilisation = load;
+    World world(s, [](Time now, const Settings& settings, const TrueState& truth, std::vector<Action>& actions) {
+      return make_policy("module", now, settings, truth, actions);
+    });
+    world.run();
+    EXPECT_EQ(world.rules().all(), 0u);
+    EXPECT_GT(world.metrics().goodput(), 0.97) << load;
+    return static_cast<double>(world.metrics().crossings) / static_cast<double>(world.metrics().all.asked);
+  };
+  EXPECT_LT(played(0.3), 0.1);  // 1.1 where calls go where they find least
+  EXPECT_GT(played(0.8), 0.1);  // its own can do 0.63 of what comes
+}
+
 // Bytes changed, cut and doubled at random: a scenario or a fault with a text, never anything else.
 TEST(ScenarioReader, OutlivesDamage) {
   std::vector<std::string> texts;
