Hear discovery before anything is sent after a gap in which the process did not run

Seen: three real processes stopped for 1.7 s (drain grace 2 s) with requests and the word of a drain waiting, requests in front, sent requests to the drained backend on waking. Cause: decision_actor.cpp run() takes messages in the order of epoll, and take_list dates news by when it is read. Change: src/recovery, a state machine free of I/O and clocks, notices a gap of more than half of the grace by the clock; requests, outcomes and timers wait, in their order, until the watch's socket is read to its end, or, after a gap of over 2.5 s, the whole list was asked for once (from=0); bounded by half of the grace and 250 ms. Stages empty, hearing, full in the log. Not tested by itself: a step that was connecting when the process stopped (peer_actor.cpp may_send).

--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -4,6 +4,7 @@
 
 #include "log/log.h"
 #include "proxy/log.h"
+#include "proxy/pool_config_actor.h"
 
 namespace beechhill::proxy {
 namespace {
@@ -25,6 +26,7 @@
       most_tries_(config.named.settings.most_tries),
       unix_offset_(std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch()) -
                    now()),
+      course_(now(), config.named.settings.drain_grace, PoolConfigActor::kSilence, !config.known.entries.empty()),
       balancer_(now(), config.named.settings, actions_) {
   if (subset.nodes > 0)
     subset_.emplace(subset, routing::unit_for(config.named.settings.classes), config.name);
@@ -34,22 +36,54 @@
   has_list_ = !config.known.entries.empty();
 }
 
+// A gap in which the process did not run is noticed here, before anything is decided on what it holds.
+bool DecisionActor::returning() {
+  const Time at = now();
+  if (course_.look(at)) {
+    log::info("away", {{"ms", static_cast<std::uint64_t>(course_.gap().count() / 1000)}});
+    if (!watch_.post(CatchUp{course_.asks_again()})) log_lost("catch_up");
+  }
+  const bool returning = course_.returning(at);
+  say_stage();
+  return returning;
+}
+
+void DecisionActor::say_stage() {
+  if (std::exchange(said_, course_.stage()) != course_.stage()) log::info("stage", {{"name", recovery::name(said_)}});
+}
+
+// Hands on what came on the way back, in its order.
+void DecisionActor::catch_up() {
+  for (std::deque<DecisionMessage> late = std::exchange(late_, {}); !late.empty(); late.pop_front())
+    std::visit([this](auto& m) { on(m); }, late.front());
+}
+
 runtime::Task<> DecisionActor::run() {
   for (;;) {
+    if (!returning()) catch_up();
     while (!inbox_.empty()) {
       DecisionMessage message = inbox_.take();
+      const bool news = std::holds_alternative<config::PoolConfig>(message) || std::holds_alternative<CaughtUp>(message) ||
+                        std::holds_alternative<Exclude>(message);
+      if (returning() && !news) {
+        late_.push_back(std::move(message));
+        continue;
+      }
+      if (!returning()) catch_up();
       std::visit([this](auto& m) { on(m); }, message);
       if (!timers_.empty() && timers_.begin()->first <= now()) break;
     }
-    while (!timers_.empty() && timers_.begin()->first <= now()) {
+    while (!returning() && !timers_.empty() && timers_.begin()->first <= now()) {
       const TimerToken token = timers_.begin()->second;
       timers_.erase(timers_.begin());
       drive(Timer{token});
     }
-    if (!inbox_.empty()) continue;
+    const bool waits = returning();
+    if (!inbox_.empty() || (!waits && !late_.empty())) continue;
+    Time until = waits ? course_.hear_by() : now() + course_.beat();
+    if (!waits && !timers_.empty()) until = std::min(until, timers_.begin()->first);
     runtime::Wait wait(scheduler_);
-    wait.notified(inbox_.arrived());
-    if (!timers_.empty()) wait.until(to_point(timers_.begin()->first));
+    wait.notified(inbox_.arrived()).until(to_point(until));
     co_await wait;
   }
 }
@@ -177,6 +211,7 @@
 
 void DecisionActor::on(config::PoolConfig& pool) {
   has_list_ = heard_ = true;
+  course_.listed();
   take_list(pool, pool.whole ? ListKind::kFull : ListKind::kChanges);
 }
 
@@ -230,6 +265,8 @@
   return part;
 }
 
+void DecisionActor::on(CaughtUp&) { course_.caught_up(); }
+
 void DecisionActor::on(Census& census) {
   const auto [listed, avoided] = balancer_.census(now());
   census.asked->members = listed;
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -13,6 +13,7 @@
 
 #include "config/interner.h"
 #include "proxy/operation.h"
+#include "recovery/course.h"
 #include "routing/subset.h"
 
 namespace beechhill::proxy {
@@ -29,6 +30,8 @@
   DecisionBox& inbox() { return inbox_; }
   bool has_list() const { return has_list_; }
   bool heard() const { return heard_; }  // from discovery, since the start
+  // Whether what is held may decide where something new goes: not within a gap, nor until discovery was heard after it.
+  bool current() const { return course_.current(now()); }
   runtime::Task<> run();
 
  private:
@@ -49,6 +52,9 @@
     std::size_t used = 0;                       // operations' attempts and probes that refer to it
   };
 
+  bool returning();
+  void catch_up();
+  void say_stage();
   void drive(const Event& event);
   void perform();
   void end(Entry& entry, Answer answer);
@@ -60,6 +66,7 @@
   void on(StreamDone& done);
   void on(ProbeDone& done);
   void on(config::PoolConfig& pool);
+  void on(CaughtUp&);
   void on(Exclude& order);
   void on(Census& census);
   bool ever_listed(const std::string& host) const;
@@ -86,6 +93,10 @@
   std::uint32_t most_tries_;
   Time unix_offset_;  // Unix time less the module's clock
   bool has_list_ = false, heard_ = false;
+  recovery::Course course_;
+  recovery::Stage said_ = recovery::Stage::kEmpty;  // in the log
+  // What came on the way back, in its order: as each message stands for a descriptor's doing, no more than that.
+  std::deque<DecisionMessage> late_;
   config::Interner servers_, zones_, kinds_;
   std::vector<Backend> backends_;  // by ServerId
   std::unordered_set<std::string> gone_;  // ids that a list once named, kMostGone of them at the most
--- a/src/proxy/log.cpp
+++ b/src/proxy/log.cpp
@@ -46,6 +46,8 @@
       return "discovery_bad";
     case EndReason::kDiscoveryMoved:
       return "discovery_moved";
+    case EndReason::kDiscoveryAnew:
+      return "discovery_anew";
     case EndReason::kFault:
       return "fault";
   }
--- a/src/proxy/log.h
+++ b/src/proxy/log.h
@@ -28,6 +28,7 @@
   kDiscoverySilent,  // the watch said nothing for too long
   kDiscoveryBad,     // the watch sent what cannot be read
   kDiscoveryMoved,   // a new configuration names another discovery
+  kDiscoveryAnew,    // the process was away, and asks for the whole list again
   kFault,            // unforeseen
 };
 const char* code(EndReason reason);
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -137,14 +137,20 @@
   std::shared_ptr<Asked> asked;
 };
 
-using DecisionMessage = std::variant<Arrived, Left, StepDone, StreamDone, ProbeDone, config::PoolConfig, Exclude, Census>;
+struct CaughtUp {};  // all that discovery had written when a CatchUp was taken has been posted
+
+using DecisionMessage =
+    std::variant<Arrived, Left, StepDone, StreamDone, ProbeDone, config::PoolConfig, CaughtUp, Exclude, Census>;
 using DecisionBox = runtime::Mailbox<DecisionMessage>;
 
 struct WatchNow {};  // the module wants the list watched: no more pausing
 struct MoveWatch {   // discovery is elsewhere from now on
   sockaddr_in address{};
 };
-using WatchMessage = std::variant<WatchNow, MoveWatch>;
+struct CatchUp {  // read all that was written, then say CaughtUp
+  bool anew = false;  // the whole list is asked for: what was written may not be all
+};
+using WatchMessage = std::variant<WatchNow, MoveWatch, CatchUp>;
 using WatchBox = runtime::Mailbox<WatchMessage>;
 
 enum class DoorWord { kEvacuate, kRejoin, kEnd };
--- a/src/proxy/peer_actor.cpp
+++ b/src/proxy/peer_actor.cpp
@@ -125,8 +125,8 @@
 }
 
 bool PeerActor::may_send() const {
-  return status_.state == ServerState::kUp ||
-         now() < status_.told + settings_.drain_grace - settings_.drain_grace / kDrainMargin;
+  return pool_.current() && (status_.state == ServerState::kUp ||
+                             now() < status_.told + settings_.drain_grace - settings_.drain_grace / kDrainMargin);
 }
 
 // ---- Connections
@@ -257,6 +257,8 @@
 Task<PeerActor::Exchanged> PeerActor::exchange(const Payload& payload, Time connect_by, Time deadline,
                                                 const RouteStep* step) {
   Exchanged got;
+  // The process was away: whether this backend still serves is not known, and no fault of its own.
+  if (!pool_.current()) got.result = Result::kMoot;
   if (!may_send()) co_return got;
   std::unique_ptr<Connection> connection = take_idle();
   if (!connection) {
@@ -271,6 +273,7 @@
     // Guards against work for a backend that drained, or moved, while the connection was still under way.
     if (!may_send() || now() >= deadline || !net::same(connection->address, status_.address)) {
       connection->reason = EndReason::kPeerDrained;
+      if (!pool_.current()) got.result = Result::kMoot;
       co_return got;
     }
   }
--- a/src/proxy/peer_actor.h
+++ b/src/proxy/peer_actor.h
@@ -1,6 +1,7 @@
 // A backend over HTTP/1.1: its connections and the route steps on them.
 #pragma once
 
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -27,6 +28,7 @@
   Telemetry& telemetry;
   std::vector<PeerActor*> peers;
   Duration answer_pause = Duration::max();  // the longest within an answer that has begun
+  std::function<bool()> current = [] { return true; };  // whether the list held may still be acted on
 };
 
 class PeerActor : public Peer {
--- a/src/proxy/pool_config_actor.cpp
+++ b/src/proxy/pool_config_actor.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr auto kConnectLimit = 500ms;
-constexpr auto kSilence = 2500ms;  // a watch sends at least an empty line every 2 s
 constexpr auto kLeastPause = 50ms, kMostPause = 250ms;
 constexpr std::size_t kInboxCapacity = 4;  // one order is as good as many
 // Of the memory, a line of the list may be one part: read, its rows take some ten times as much. At 192 MB 40,000 rows.
@@ -33,6 +32,7 @@
 Task<> PoolConfigActor::run(DecisionBox& decisions) {
   for (;;) {
     moved();
+    anew_ = false;  // a new watch is begun at any rate
     End end{.address = address_};
     try {
       co_await watch(decisions, end);
@@ -41,7 +41,7 @@
       log_fault("discovery_fault", error);
     }
     log_end("discovery", net::to_string(end.address), end.reason, end.lists);
-    if (end.reason == EndReason::kDiscoveryMoved) continue;
+    if (end.reason == EndReason::kDiscoveryMoved || end.reason == EndReason::kDiscoveryAnew) continue;
     // Jitter: all proxies lose a discovery that fails at the same moment.
     std::uniform_int_distribution<std::int64_t> pause(kLeastPause.count(), kMostPause.count());
     runtime::Wait wait(scheduler_);
@@ -54,6 +54,7 @@
   bool elsewhere = false;
   while (!inbox_.empty()) {
     const WatchMessage message = inbox_.take();
+    if (const auto* catch_up = std::get_if<CatchUp>(&message)) catching_ = true, anew_ |= catch_up->anew;
     const auto* move = std::get_if<MoveWatch>(&message);  // an order to watch is met by the watch itself
     if (!move || net::same(move->address, address_)) continue;
     address_ = move->address;
@@ -62,14 +63,22 @@
   return elsewhere;
 }
 
+void PoolConfigActor::caught_up(DecisionBox& decisions) {
+  if (!std::exchange(catching_, false)) return;
+  DecisionMessage word(CaughtUp{});
+  if (!decisions.post(std::move(word))) log_lost("caught_up");  // its wait ends by itself
+}
+
 Task<> PoolConfigActor::watch(DecisionBox& decisions, End& end) {
   const auto stream = co_await net::Stream::connect(scheduler_, address_, Clock::now() + kConnectLimit);
   if (!stream) {
     end.reason = EndReason::kConnectFailed;
     co_return;
   }
+  // What changed since version 0 is the whole list, and comes at once: where nothing has changed nothing would.
+  const bool whole = catching_;
   const std::string request =
-      http::write_request("GET", "/registry/instances?watch=1&from=" + std::to_string(version_),
+      http::write_request("GET", "/registry/instances?watch=1&from=" + std::to_string(whole ? 0 : version_),
                           net::to_string(address_), "", "");
   if (co_await stream->write(request, Clock::now() + kSilence) != Io::kOk) co_return;
   http::Parser parser(http::Parser::Kind::kResponseHead);
@@ -78,12 +87,18 @@
   scanned_ = 0;
   TimePoint silent = Clock::now() + kSilence;
   for (;;) {
-    const Io io = co_await stream->read(buffer, silent, &inbox_.arrived());
+    const bool all = catching_ && !whole;  // what stands in the socket, up to its end
+    const Io io = co_await stream->read(buffer, all ? Clock::now() : silent, all ? nullptr : &inbox_.arrived());
     if (io == Io::kNotified) {
-      if (!moved()) continue;
-      end.reason = EndReason::kDiscoveryMoved;
+      const bool elsewhere = moved();
+      if (!elsewhere && !anew_) continue;
+      end.reason = elsewhere ? EndReason::kDiscoveryMoved : EndReason::kDiscoveryAnew;
       co_return;
     }
+    if (io == Io::kTimeout && all) {
+      caught_up(decisions);
+      continue;
+    }
     if (io == Io::kTimeout) end.reason = EndReason::kDiscoverySilent;
     if (io != Io::kOk) co_return;
     silent = Clock::now() + kSilence;
@@ -101,6 +116,7 @@
       lines += std::exchange(buffer, {});
     }
     if (!take_lines(lines, decisions, end.lists) || progress == http::Progress::kBad) co_return;
+    if (whole && end.lists > 0) caught_up(decisions);
     end.reason = EndReason::kDiscoveryEnded;
     if (progress == http::Progress::kDone) co_return;
   }
--- a/src/proxy/serve.cpp
+++ b/src/proxy/serve.cpp
@@ -134,6 +134,7 @@
   PoolConfigActor pool_config(scheduler, config);
   const handover::SharedState before = folder ? folder->state() : handover::SharedState{};
   DecisionActor decisions(scheduler, config, make_peer, pool_config.inbox(), settings.subset, before.barred);
+  pool.current = [&decisions] { return decisions.current(); };
   // What the list last held says may be old: with another process there to serve, discovery is heard first.
   const runtime::TimePoint patience = runtime::Clock::now() + kHearDiscovery;
   const bool patient = folder && folder->others().alive > 0;
