Wire the serving program in a room of its own; look at the clock once a message

On the way back from a gap nothing is allocated or asked twice for each message, and whether a list is held is the stage's to say.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,7 +11,7 @@
 #include "config/config.h"
 #include "config/operator_file.h"
 #include "log/log.h"
-#include "proxy/serve.h"
+#include "serve/serve.h"
 
 namespace {
 
@@ -30,7 +30,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   int code = 0;
   try {
-    proxy::serve(operator_file);
+    service::run(operator_file);
   } catch (const std::exception& error) {
     std::fprintf(stderr, "beechhill: %s\n", error.what());
     code = kFault;
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -13,6 +13,12 @@
 constexpr std::size_t kInboxCapacity = 8192;
 constexpr std::size_t kMostGone = 16 * 1024;  // ids that operators may still name
 
+// What is heeded on the way back; all else waits for it.
+bool is_news(const DecisionMessage& message) {
+  return std::holds_alternative<config::PoolConfig>(message) || std::holds_alternative<CaughtUp>(message) ||
+         std::holds_alternative<Exclude>(message);
+}
+
 }  // namespace
 
 DecisionActor::DecisionActor(runtime::Scheduler& scheduler, const config::Config& config,
@@ -33,7 +39,6 @@
   zones_.id(config.named.zone);  // the settings' own zone is number 0
   perform();
   take_list(config.known, ListKind::kLastHeld);
-  has_list_ = !config.known.entries.empty();
 }
 
 // A gap in which the process did not run is noticed here, before anything is decided on what it holds.
@@ -54,31 +59,32 @@
 
 // Hands on what came on the way back, in its order.
 void DecisionActor::catch_up() {
+  if (late_.empty()) return;
   for (std::deque<DecisionMessage> late = std::exchange(late_, {}); !late.empty(); late.pop_front())
     std::visit([this](auto& m) { on(m); }, late.front());
 }
 
 runtime::Task<> DecisionActor::run() {
   for (;;) {
-    if (!returning()) catch_up();
+    bool waits = returning();
+    if (!waits) catch_up();
     while (!inbox_.empty()) {
       DecisionMessage message = inbox_.take();
-      const bool news = std::holds_alternative<config::PoolConfig>(message) || std::holds_alternative<CaughtUp>(message) ||
-                        std::holds_alternative<Exclude>(message);
-      if (returning() && !news) {
+      waits = returning();
+      if (waits && !is_news(message)) {
         late_.push_back(std::move(message));
         continue;
       }
-      if (!returning()) catch_up();
+      if (!waits) catch_up();
       std::visit([this](auto& m) { on(m); }, message);
       if (!timers_.empty() && timers_.begin()->first <= now()) break;
     }
-    while (!returning() && !timers_.empty() && timers_.begin()->first <= now()) {
+    while (!waits && !timers_.empty() && timers_.begin()->first <= now()) {
       const TimerToken token = timers_.begin()->second;
       timers_.erase(timers_.begin());
       drive(Timer{token});
     }
-    const bool waits = returning();
+    waits = returning();
     if (!inbox_.empty() || (!waits && !late_.empty())) continue;
     Time until = waits ? course_.hear_by() : now() + course_.beat();
     if (!waits && !timers_.empty()) until = std::min(until, timers_.begin()->first);
@@ -210,7 +216,7 @@
 // ---- Discovery, probes, timers
 
 void DecisionActor::on(config::PoolConfig& pool) {
-  has_list_ = heard_ = true;
+  heard_ = true;
   course_.listed();
   take_list(pool, pool.whole ? ListKind::kFull : ListKind::kChanges);
 }
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -28,7 +28,7 @@
                 const routing::SubsetSettings& subset = {}, std::set<std::string> barred = {});
 
   DecisionBox& inbox() { return inbox_; }
-  bool has_list() const { return has_list_; }
+  bool has_list() const { return course_.stage() != recovery::Stage::kEmpty; }
   bool heard() const { return heard_; }  // from discovery, since the start
   // Whether what is held may decide where something new goes: not within a gap, nor until discovery was heard after it.
   bool current() const { return course_.current(now()); }
@@ -92,7 +92,7 @@
   std::set<std::string> barred_;  // left out by hand, by id: a ban outlasts what the list says
   std::uint32_t most_tries_;
   Time unix_offset_;  // Unix time less the module's clock
-  bool has_list_ = false, heard_ = false;
+  bool heard_ = false;
   recovery::Course course_;
   recovery::Stage said_ = recovery::Stage::kEmpty;  // in the log
   // What came on the way back, in its order: as each message stands for a descriptor's doing, no more than that.
--- a/src/proxy/pool_config_actor.cpp
+++ b/src/proxy/pool_config_actor.cpp
@@ -65,7 +65,7 @@
 
 void PoolConfigActor::caught_up(DecisionBox& decisions) {
   if (!std::exchange(catching_, false)) return;
-  DecisionMessage word(CaughtUp{});
+  DecisionMessage word(std::in_place_type<CaughtUp>);
   if (!decisions.post(std::move(word))) log_lost("caught_up");  // its wait ends by itself
 }
 
--- a/src/proxy/serve.cpp
+++ b/src/serve/serve.cpp
@@ -1,4 +1,4 @@
-#include "proxy/serve.h"
+#include "serve/serve.h"
 
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -20,7 +20,10 @@
 #include "proxy/peer_actor.h"
 #include "proxy/pool_config_actor.h"
 
-namespace beechhill::proxy {
+namespace beechhill::service {
+
+using namespace proxy;
+
 namespace {
 
 constexpr std::size_t kOtherDescriptors = 24;  // standard streams, epoll, signals, listeners, discovery
@@ -115,7 +118,7 @@
 
 }  // namespace
 
-void serve(const std::string& operator_file) {
+void run(const std::string& operator_file) {
   net::Fd signals = block_signals();  // first: one that comes while starting waits its turn
   const config::Config config = config::load_config();
   const config::OperatorSettings settings = config::load_operator(operator_file);
@@ -172,4 +175,4 @@
   scheduler.run();
 }
 
-}  // namespace beechhill::proxy
+}  // namespace beechhill::service
--- a/src/proxy/serve.h
+++ b/src/serve/serve.h
@@ -4,10 +4,10 @@
 
 #include <string>
 
-namespace beechhill::proxy {
+namespace beechhill::service {
 
 // Serves until it is told to end. The configuration is the one of config::load_config(); `operator_file` may be
 // empty. Throws JsonFault, TomlFault or std::system_error where it cannot start.
-void serve(const std::string& operator_file);
+void run(const std::string& operator_file);
 
-}  // namespace beechhill::proxy
+}  // namespace beechhill::service
