Name a message before it is posted: GCC 12 warned of it in Release

Seen in a fresh clone's Release build: three -Wmaybe-uninitialized warnings, all from admin_door.cpp:138, brought out by the new member of DecisionMessage. The message is named first, as elsewhere. 0 warnings; operators, upgrade and return tests pass.

--- a/src/admin/admin_door.cpp
+++ b/src/admin/admin_door.cpp
@@ -135,7 +135,8 @@
 Task<std::string> AdminDoor::figures() {
   const auto asked = std::make_shared<Asked>();
   int status = 503;
-  if (decisions_.post(proxy::Census{asked})) status = co_await proxy::settled(scheduler_, asked, kAnswerLimit);
+  proxy::DecisionMessage question(std::in_place_type<proxy::Census>, asked);
+  if (decisions_.post(std::move(question))) status = co_await proxy::settled(scheduler_, asked, kAnswerLimit);
   Json::Value root(Json::objectValue);
   for (const char* name : {"completed", "rejected", "failed"}) root[name] = Json::Value(Json::objectValue);
   for (ClassId id = 0; id < classes_.size(); ++id) {
