--- a/src/emulator/event_queue.h
+++ b/src/emulator/event_queue.h
@@ -27,6 +27,8 @@
   kReplace,      // a: fault, b: how many nodes have been replaced
   kNodeGone,     // a: tier, b: node; a drained node leaves
   kSecond,       // a: number of the window that ends
+  kLeft,         // a: operation, b: its try; the client of a stopped proxy waits no longer
+  kWake,         // a: proxy, b: its life, c: whether discovery answers; a continued proxy has heard, or waited enough
 };
 
 struct Happening {
--- a/src/emulator/metrics.cpp
+++ b/src/emulator/metrics.cpp
@@ -8,6 +8,9 @@
 
 namespace bh = boost::histogram;
 constexpr unsigned kBins = 1600;
+constexpr std::chrono::milliseconds kTenth{100};
+constexpr std::size_t kWindow = 10, kHolds = 50;  // tenths: a second's goodput, and how long it has to hold
+constexpr double kNearFull = 0.98;
 
 Json::Value number(std::uint64_t n) { return Json::Value(static_cast<Json::UInt64>(n)); }
 
@@ -62,7 +65,11 @@
 }
 
 Metrics::Metrics(const Scenario& s)
-    : by_class(s.classes.size()), by_tenant(s.tenants.size()), latency(s.classes.size()), s_(&s) {}
+    : by_class(s.classes.size()),
+      by_tenant(s.tenants.size()),
+      latency(s.classes.size()),
+      tenths(static_cast<std::size_t>(s.length / kTenth) + 1),
+      s_(&s) {}
 
 bool Metrics::counted(Time first) const { return first >= s_->warm_up && first < s_->length; }
 
@@ -80,6 +87,7 @@
 
 void Metrics::asked(Time first, ClassId c, TenantId tenant, double worth) {
   if (Second* w = second_of(first)) w->asked += 1, w->worth_asked += worth;
+  if (Tenth* t = tenth_of(first)) t->worth_asked += worth;
   if (counted(first)) each(c, tenant, [worth](Count& k) { k.asked += 1, k.worth_asked += worth; });
 }
 
@@ -88,6 +96,7 @@
   const bool in_aim = served && took <= k.aim;
   const double got = !served ? 0 : in_aim ? worth : worth * k.late_worth;
   if (Second* w = second_of(first)) w->worth_served += got, w->in_aim += in_aim;
+  if (Tenth* t = tenth_of(first)) t->worth_served += got;
   if (!counted(first)) return;
   if (served) latency[c].add(took), latency_all.add(took);
   each(c, tenant, [&](Count& n) {
@@ -123,6 +132,38 @@
   return -1;
 }
 
+Tenth* Metrics::tenth_of(Time t) {
+  const auto i = static_cast<std::size_t>(t / kTenth);
+  return t >= Time{0} && i < tenths.size() ? &tenths[i] : nullptr;
+}
+
+Return Metrics::return_from(const Metrics& control, Time begun, Time back) const {
+  Return r;
+  const std::size_t count = std::min(tenths.size(), control.tenths.size());
+  const auto place = [](Time t) { return static_cast<std::size_t>(std::max(Time{0}, t) / kTenth); };
+  double asked = 0;
+  for (std::size_t i = place(begun); i < count; ++i) {
+    asked += tenths[i].worth_asked;
+    r.worth_lost += control.tenths[i].worth_served - tenths[i].worth_served;
+  }
+  if (const double seconds = static_cast<double>(count - std::min(count, place(begun))) / kWindow; asked > 0)
+    r.worth_lost *= seconds / asked;
+  const auto full = [&](std::size_t from) {
+    double got = 0, wanted = 0;
+    for (std::size_t i = from; i < from + kWindow; ++i)
+      got += tenths[i].worth_served, wanted += control.tenths[i].worth_served;
+    return got >= kNearFull * wanted;
+  };
+  std::size_t held = 0;  // windows in a row, looked at from the first on
+  for (std::size_t i = place(back); i + kWindow <= count; ++i) {
+    held = full(i) ? held + 1 : 0;
+    if (held <= kHolds) continue;
+    r.full_after = std::max(Duration{0}, Duration(kTenth * (i - kHolds)) - back);
+    break;
+  }
+  return r;
+}
+
 Json::Value Metrics::to_json(bool series) const {
   const Scenario& s = *s_;
   Json::Value v;
--- a/src/emulator/metrics.h
+++ b/src/emulator/metrics.h
@@ -5,6 +5,7 @@
 
 #include <boost/histogram.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,16 @@
   double load_max_over_mean = 0;   // of jobs in hand over the nodes of the first tier, at its end
 };
 
+struct Tenth {  // of a second, by when the requests first came
+  double worth_asked = 0, worth_served = 0;
+};
+
+// What a fault cost, against a control: the same arrivals and seed without the fault.
+struct Return {
+  std::optional<Duration> full_after;  // from the last proxy's return to full service; nothing: not within the run
+  double worth_lost = 0;               // against the control's, from the fault's beginning on, as a share of a second's worth
+};
+
 struct Metrics {
   explicit Metrics(const Scenario& s);  // which must outlive it
 
@@ -59,7 +70,9 @@
   std::vector<LatencyHistogram> latency;  // by class, of what was served
   LatencyHistogram latency_all;
   std::vector<Second> seconds;
+  std::vector<Tenth> tenths;  // as long as the scenario
   std::uint64_t tries = 0, attempts = 0, connections = 0, probes = 0, unreachable = 0, tipped = 0;
+  std::uint64_t most_connections = 0, most_arrivals = 0;  // at one node of the first tier in one second, after the warm-up
   std::uint64_t pairs = 0;  // proxy and node that ever had a connection
   std::uint64_t crossings = 0;  // attempts between zones, of all tiers
   double work_done = 0, work_useful = 0;  // core-seconds at speed 1
@@ -72,9 +85,13 @@
   // Seconds from `from` on until goodput is `goal` or more for three seconds in a row; negative where it is not by
   // `until`.
   double recovery_s(Duration from, Duration until, double goal) const;
+  // Full service: goodput over each whole second that begins within five seconds is within 2 % of the control's.
+  // `begun`: when the fault began; `back`: when the last proxy was started again or continued.
+  Return return_from(const Metrics& control, Time begun, Time back) const;
   Json::Value to_json(bool series) const;
 
  private:
+  Tenth* tenth_of(Time t);  // null beyond the series
   template <typename Book>
   void each(ClassId c, TenantId tenant, const Book& book);
 
--- a/src/emulator/rules.cpp
+++ b/src/emulator/rules.cpp
@@ -40,7 +40,7 @@
 
 void RuleChecker::taken(Time now, std::uint64_t call, ClassId c, Time deadline) {
   Call& made = calls_[call];
-  made = Call{c, deadline, false, {}, {}};
+  made = Call{c, deadline, false, false, Time{0}, {}, {}};
   note(made, now, fmt::format("taken class={} deadline={:.6f}", s_.classes[c].name, to_s(deadline)));
 }
 
@@ -54,9 +54,11 @@
   if (it == calls_.end()) return;
   Call& c = it->second;
   note(c, now, refusal ? "refused" : "answered");
+  if (c.excused) return;  // nobody hears it
   if (c.answered) return broken(now, Rule::kOneAnswer, call, "a second final answer", c.trace);
   c.answered = true;
-  if (now > c.deadline + s_.answer_grace)
+  c.answered_at = now;
+  if (now > c.deadline + s_.answer_grace + slack_)
     broken(now, Rule::kOneAnswer, call, "answered after the deadline and its grace", c.trace);
   const ClassSettings& k = s_.classes[c.c].settings;
   if (!refusal || k.effect == Effect::kRepeatable) return;
@@ -66,13 +68,15 @@
 }
 
 void RuleChecker::sent(Time now, std::uint64_t call, std::uint32_t tier, ServerId node, const ServerEntry& entry,
-                       std::optional<Time> told) {
+                       std::optional<Time> told, Duration held) {
+  now -= held;
   const auto it = calls_.find(call);
   if (it == calls_.end()) return;
   Call& c = it->second;
   note(c, now, fmt::format("sent attempt={} tier={} node={}", c.attempts.size(), tier, node));
-  if (c.answered) broken(now, Rule::kOneAnswer, call, "sent after its final answer", c.trace);
-  if (told && now > *told + s_.drain_grace)
+  if (c.answered && now >= c.answered_at + slack_)
+    broken(now, Rule::kOneAnswer, call, "sent after its final answer", c.trace);
+  if (told && now > *told + s_.drain_grace + slack_)
     broken(now, Rule::kDrains, call,
            fmt::format("sent to node {} {:.3f} s after it was told to drain", node, to_s(now - *told)), c.trace);
   const ClassSettings& k = s_.classes[c.c].settings;
@@ -89,7 +93,7 @@
     const bool within = k.group == Group::kAll ||
                         (entry.zone == first->zone && (k.group == Group::kZone || entry.cell == first->cell));
     if (!within) broken(now, Rule::kEffects, call, "sent again outside its group", c.trace);
-    if (now > first->sent + k.memory_span)
+    if (now > first->sent + k.memory_span + slack_)
       broken(now, Rule::kEffects, call, "sent again after its group's memory span", c.trace);
   }
   c.attempts.push_back({node, entry.zone, entry.cell, now, std::nullopt});
@@ -102,6 +106,14 @@
   note(it->second, now, fmt::format("attempt={} {}", attempt, word(result)));
 }
 
+void RuleChecker::excused(Time now, std::uint64_t call) {
+  const auto it = calls_.find(call);
+  if (it == calls_.end() || it->second.answered) return;
+  note(it->second, now, "excused");
+  it->second.answered = it->second.excused = true;
+  it->second.answered_at = now;
+}
+
 void RuleChecker::forget(std::uint64_t call) { calls_.erase(call); }
 
 void RuleChecker::overdue(Time now, std::uint64_t call) {
--- a/src/emulator/rules.h
+++ b/src/emulator/rules.h
@@ -26,15 +26,19 @@
 // Requests are named by the world's call ids; nodes by tier and number.
 class RuleChecker {
  public:
-  explicit RuleChecker(const Scenario& scenario) : s_(scenario) {}
+  // `slack`: how much later than it happened something may come into the books; zero where one clock rules all.
+  explicit RuleChecker(const Scenario& scenario, Duration slack = Duration{0}) : s_(scenario), slack_(slack) {}
 
   void taken(Time now, std::uint64_t call, ClassId c, Time deadline);
   // A final answer of any kind reaches the client. `refusal`: it tells that trying again is harmless.
   void answered(Time now, std::uint64_t call, bool refusal);
-  // The proxy sends an attempt. `told`: since when its list says that the node drains or is gone.
+  // The proxy sends an attempt. `told`: since when its list says that the node drains or is gone. `held`: for how long it may
+  // have stood on its way until this was seen.
   void sent(Time now, std::uint64_t call, std::uint32_t tier, ServerId node, const ServerEntry& entry,
-            std::optional<Time> told);
+            std::optional<Time> told, Duration held = Duration{0});
   void ended(Time now, std::uint64_t call, std::uint32_t attempt, Result result);
+  // Its client waits no longer, through no fault of the proxy's: no answer is owed.
+  void excused(Time now, std::uint64_t call);
   // The proxy died, or all is done: nothing more is owed for it.
   void forget(std::uint64_t call);
   // Its deadline and the grace after it are over.
@@ -60,7 +64,8 @@
   struct Call {
     ClassId c = 0;
     Time deadline{0};
-    bool answered = false;
+    bool answered = false, excused = false;
+    Time answered_at{0};
     std::vector<Attempt> attempts;
     std::string trace;
   };
@@ -74,6 +79,7 @@
   void note(Call& c, Time now, const std::string& what);
 
   const Scenario& s_;
+  const Duration slack_;
   std::unordered_map<std::uint64_t, Call> calls_;  // looked up only
   std::map<std::uint64_t, std::deque<Press>> pressure_;
   std::array<std::uint64_t, 4> counts_{};
--- a/src/emulator/world.h
+++ b/src/emulator/world.h
@@ -17,6 +17,7 @@
 #include "emulator/random.h"
 #include "emulator/rules.h"
 #include "emulator/scenario.h"
+#include "recovery/course.h"
 
 namespace beechhill::emulator {
 
@@ -45,6 +46,7 @@
     double work = 0, worth = 0;
     std::uint32_t tries = 0, connection = 0;
     bool refused = false;  // its last try was, else it failed
+    bool waits = false;    // its last try is at a stopped proxy, unread
   };
   struct Attempt {
     ServerId node = 0;
@@ -59,6 +61,7 @@
     Time deadline{0};
     double work = 0;
     bool over = false;
+    bool left = false;  // its client went while its proxy was stopped
     std::vector<Attempt> attempts;
     std::uint32_t out = 0;
     std::size_t place = 0;  // in its proxy's list
@@ -92,6 +95,7 @@
     double errors = 0;
     Duration late{0};
     double inbound = 0;  // core-seconds on the way
+    std::uint64_t opened = 0, sent = 0;  // connections and attempts in this second
     std::uint32_t below = 0;  // the proxy it calls the next tier through
     bool cold = false;
     std::vector<std::uint64_t> jobs;
@@ -108,6 +112,12 @@
   struct Proxy {
     std::uint32_t tier = 0, zone = 0, index = 0;
     bool alive = false;
+    bool stopped = false;  // it runs not, or has not heard since; what is for it waits
+    bool leaving = false;  // it takes no new requests
+    std::uint32_t unheard = 0;  // faults that keep discovery from it
+    std::optional<recovery::Course> course;  // of a stopped one
+    std::deque<Happening> held;              // for a stopped one, in order
+    std::vector<Call> unread;                // requests to a stopped one
     std::uint64_t life = 0;
     Time died{0}, last_told{0};
     std::unique_ptr<Policy> policy;
@@ -181,6 +191,11 @@
   void node_down(std::uint32_t tier, ServerId node, bool silent);
   void node_back(std::uint32_t tier, ServerId node);
   void kill_proxy(std::uint32_t proxy);
+  void stop_proxy(std::uint32_t proxy);
+  void continue_proxy(std::uint32_t proxy);
+  void wake(std::uint32_t proxy, bool whole_list);
+  bool held_back(const Happening& h);
+  void deal_back(std::uint32_t proxy);
   void close_second(std::uint64_t window);
   void happen(const Happening& h);
   void sum_up();
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -17,8 +17,13 @@
   // Connections that it may hold to all proxies together; a try beyond is unreachable.
   static constexpr std::size_t kMostConnections = 4096;
 
+  // `books`, if any, must outlive it.
   Load(runtime::Scheduler& scheduler, const LabClock& clock, const emulator::Scenario& scenario,
-       std::vector<sockaddr_in> proxies);
+       std::vector<sockaddr_in> proxies, Books* books = nullptr);
+  // What the front between the clients and the proxies knows: whether it offers that one to new connections.
+  void offer(std::size_t proxy, bool offered);
+  // A proxy is back: where the scenario has it so, it is given its even part of the connections again.
+  void deal_back(std::size_t proxy);
   // Ends when every request has ended.
   runtime::Task<> run();
   const emulator::Metrics& metrics() const { return metrics_; }
@@ -39,10 +44,14 @@
   runtime::Task<Try> one_try(const emulator::Arrival& arrival, std::uint64_t number, std::uint32_t tries,
                              std::size_t proxy, Duration patience);
 
+  std::size_t another();  // that the front offers
+
   runtime::Scheduler& scheduler_;
   const LabClock& clock_;
   const emulator::Scenario& s_;
+  Books* books_;
   std::vector<sockaddr_in> proxies_;
+  std::vector<bool> offered_;
   std::vector<std::vector<std::unique_ptr<net::Stream>>> idle_;  // by proxy
   std::size_t connections_ = 0;
   emulator::Metrics metrics_;
--- /dev/null
+++ b/src/lab/process.h
@@ -0,0 +1,60 @@
+// Real proxies as child processes of the lab. None outlives it, however it ends.
+#pragma once
+
+#include <json/json.h>
+#include <signal.h>
+#include <sys/resource.h>
+
+#include <string>
+
+#include "experiments/temp_folder.h"
+#include "net/socket.h"
+#include "runtime/scheduler.h"
+
+namespace beechhill::lab {
+
+// A free port: whoever is to listen on it is told only its number, so it is given back first. Loopback ports are given
+// out in turn, so that it is not given to another meanwhile.
+sockaddr_in free_address(runtime::Scheduler& scheduler);
+
+class ProxyProcess {
+ public:
+  // Its configuration and log stand in `folder`, which must outlive it.
+  ProxyProcess(const experiments::TempFolder& folder, const std::string& program, Json::Value config, sockaddr_in address);
+  ~ProxyProcess() { kill(); }
+  ProxyProcess(const ProxyProcess&) = delete;
+  ProxyProcess& operator=(const ProxyProcess&) = delete;
+
+  void start();  // throws std::runtime_error where the system has no process left
+  void kill();
+  void ask_to_end() { signal(SIGTERM); }  // in good order; does not wait for it
+  void stop() { signal(SIGSTOP); }
+  void go_on() { signal(SIGCONT); }
+  // In good order, or by force after 5 s. Blocks.
+  void end();
+  bool ended();  // it never ran, or has been reaped
+  double cpu_s() const { return cpu_s_; }  // of all lives that have ended
+  double cpu_now_s() const;                // of the one that runs, from /proc
+  long rss_kib() const;
+  const sockaddr_in& address() const { return address_; }
+  std::string last_words() const;  // the last line of its log
+
+ private:
+  void signal(int number) const;
+  void reap();
+  void book(const rusage& used);
+
+  std::string program_, config_, log_;
+  sockaddr_in address_{};
+  pid_t pid_ = 0;
+  double cpu_s_ = 0;
+};
+
+// Whether the proxy there says that it is ready, within 200 ms.
+runtime::Task<bool> ready(runtime::Scheduler& scheduler, sockaddr_in address);
+// Throws std::runtime_error where the proxy ends, or is not ready within 15 s.
+runtime::Task<> until_ready(runtime::Scheduler& scheduler, ProxyProcess& proxy);
+// Runs a task to its end on the scheduler, then stops it; a fault in it comes out of Scheduler::run.
+runtime::Task<> then_stop(runtime::Scheduler& scheduler, runtime::Task<> task);
+
+}  // namespace beechhill::lab
--- a/src/lab/sockets.h
+++ b/src/lab/sockets.h
@@ -5,9 +5,10 @@
 
 #include <CLI/CLI.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 
-#include "emulator/scenario.h"
+#include "emulator/metrics.h"
 
 namespace beechhill::lab {
 
@@ -20,11 +21,20 @@
   Duration latest_start{0};      // the furthest that the load was behind its time
   double proxy_cpu_s = 0;        // of all proxies
   std::uint64_t asked = 0;
+  std::optional<emulator::Metrics> metrics;  // borrows the scenario
+  std::uint64_t violations = 0, excused = 0;  // of the rules by the books; answers not owed because of a fault
+  std::string violation_text;    // the first few, with their traces
+  // The most in one second at one node from the warm-up's end on, and the most that one proxy asked of discovery.
+  std::uint32_t most_connections = 0, most_arrivals = 0, most_lists = 0;
+  Time last_back{0};             // when the last proxy was ready again; 0: none was away
 };
-// Plays the scenario with stand-in nodes and `scenario.proxies` real proxies, `program` each, and stops all that it
+// Plays the scenario, which must outlive the result, with stand-in nodes and `scenario.proxies` real proxies, `program` each, and stops all that it
 // started. Blocks for the scenario's length and a little. Throws std::invalid_argument for what sockets can't
 // play, std::runtime_error where a proxy does not come up. `progress` is called about once a second.
 SocketRun play_on_sockets(const emulator::Scenario& scenario, const std::string& program,
                           const std::function<void(const std::string&)>& progress = {});
 
+// The proxy program that was built with this one.
+std::string program_beside_us();
+
 }  // namespace beechhill::lab
