--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -18,7 +18,7 @@
 constexpr std::uint64_t kQueues = 64;     // per level and width: collisions are rare with tens of tenants
 constexpr std::size_t kQueueLength = 64;  // newest refused beyond; the wait limit mostly acts first
 constexpr int kHoldShare = 2;             // of the aim, the longest hold at the first tier is one part
-constexpr int kAdvice = 5;                // of the longest wait clients honour, a refusal advises one part
+constexpr int kAdvice = 5;                // of the longest wait clients honour: about one part is advised
 constexpr double kAssured = 100;          // shares split among levels by worth; as many stay unassured
 constexpr double kLateShareOfAim = 0.5;   // an attempt that takes longer counts as timed out for C
 constexpr double kLimitCut = 2.0;         // widths taken off C by one that was not accepted in time
@@ -30,10 +30,11 @@
 constexpr double kSlow = 1.5;             // pace beyond what the weight explains that counts as trouble
 constexpr double kErrorLoad = 4;          // an error weighs like this many calls outstanding
 constexpr double kClassTries = 4;         // of a class that tell whether a server fails it
-constexpr double kMostPace = 5;           // one stuck answer must not outweigh ten good ones
+constexpr double kMostPace = 4;           // one stuck answer must not outweigh ten good ones
 constexpr double kPaceSmoothing = 0.3;    // quick, as a server can turn slow at once
 constexpr double kSmoothing = 0.2;        // weight of a new sample in every moving average
-constexpr double kPrior = 1;              // answers, or utilisation, that a server's kind stands for
+constexpr double kPrior = 1;              // answers, or utilisation, that what all show stands for
+constexpr double kPacePrior = 0.5;        // answers, of a server's pace: few tell it; 0.25 to 0.5 alike
 constexpr double kKindPrior = 0.5;        // utilisation that the mean stands for: kinds differ more
 constexpr double kWeightFloor = 0.1;      // of the mean weight; and no more than its inverse
 constexpr double kMostUtilisation = 8;    // a report beyond either is absurd, and none
@@ -345,8 +346,7 @@
       load *= 1 + blame * excess_errors(s, c.request.class_id);
       load /= relative_weight(s) * warmth(s);
       if (load >= least) return;
-      best = s.entry.server;
-      least = load;
+      best = s.entry.server, least = load;
     };
     // Guards against a choice that walks a whole big fleet, and against all instances running to the one
     // server that looks idle to each.
@@ -380,7 +380,7 @@
   double excess(const Server& s) const {
     const Evidence& k = kinds_[s.entry.kind];
     const double kind_pace = (k.paces + kPrior) / (k.answers + kPrior);
-    const double pace = (s.own.paces + kPrior * kind_pace) / (s.own.answers + kPrior);
+    const double pace = (s.own.paces + kPacePrior * kind_pace) / (s.own.answers + kPacePrior);
     return pace * relative_weight(s);
   }
 
@@ -520,7 +520,8 @@
     const auto& k = settings(c);
     const bool safe = k.effect == Effect::kRepeatable || !c.maybe_ran ||
                       (k.effect == Effect::kKeyed && k.group == Group::kAll);
-    out_->push_back(safe ? Action(Refuse{c.request.id, s_.max_retry_after / kAdvice}) : Fail{c.request.id});
+    const Duration advice = from_seconds(seconds(s_.max_retry_after) / kAdvice * (0.5 + uniform()));
+    out_->push_back(safe ? Action(Refuse{c.request.id, advice}) : Fail{c.request.id});
     finish(c);
   }
 
@@ -536,8 +537,7 @@
   }
 
   void on(const FirstByte& f) {
-    const auto it = calls_.find(f.id);
-    if (it != calls_.end()) it->second.streaming = true;
+    if (const auto it = calls_.find(f.id); it != calls_.end()) it->second.streaming = true;
   }
 
   void on(const ClientGone& g) {
