--- a/src/admin/admin_door.cpp
+++ b/src/admin/admin_door.cpp
@@ -149,6 +149,7 @@
   root["pending"] = Json::UInt64(telemetry_.pending());
   root["members"] = Json::UInt64(asked->members);
   root["members_unavailable"] = Json::UInt64(asked->unavailable);
+  root["stage"] = asked->stage;
   Json::StreamWriterBuilder writer;
   writer["indentation"] = "";
   std::string body = Json::writeString(writer, root) + "\n";
--- a/src/emulator/scenario.h
+++ b/src/emulator/scenario.h
@@ -82,7 +82,10 @@
   kProxyStop,        // stopped where it stands (SIGSTOP), then continued
   kProxyEnd,         // a planned end (SIGTERM), then started again
   kDiscoverySilent,  // what tells these proxies the list says nothing
+  kLinkDelay,        // as kPartition, but all that goes between the two is late
+  kLinkReset,        // as kPartition, but connections between the two end as it begins, once
 };
+enum class Way { kBoth, kThere, kBack };  // of a partition: requests, answers
 
 struct FaultSpec {
   FaultKind kind = FaultKind::kSilent;
@@ -95,6 +98,7 @@
   Duration delay{0};
   std::uint32_t tenant = 0;
   std::uint32_t proxies = 0, first = 0;  // or so many proxies, from that one on
+  Way way = Way::kBoth;
 };
 
 struct Scenario {
@@ -143,6 +147,7 @@
 // So large a part of `count` things: one at the least, all at the most.
 std::size_t part_of(double part, std::size_t count);
 bool strikes_proxies(FaultKind kind);
+bool strikes_links(FaultKind kind);  // between half of the proxies, the first, and the nodes that it strikes
 // The first tier's proxies that a fault strikes, by their number: from its first on, round the end.
 std::vector<std::uint32_t> proxies_struck(const Scenario& s, const FaultSpec& fault);
 // The nodes that the scenario's fault of that number strikes, by their number; drawn among `nodes`.
--- a/src/emulator/world.h
+++ b/src/emulator/world.h
@@ -127,7 +127,7 @@
     std::unordered_map<ServerId, Connections> connections;  // looked up only
     std::vector<std::uint64_t> calls;
   };
-  struct Cut {  // a partition in force
+  struct Cut {  // a fault of links in force
     std::size_t fault = 0;
     std::vector<bool> proxies, nodes;
   };
@@ -169,7 +169,11 @@
 
   // Nodes
   Duration hop(Proxy& proxy, std::uint32_t zone);
-  bool blocked(const Proxy& proxy, std::uint32_t tier, ServerId node) const;
+  bool cut_between(const Cut& cut, const Proxy& proxy, std::uint32_t tier, ServerId node) const;
+  // Whether nothing passes that way; both: whether nothing passes there or back.
+  bool blocked(const Proxy& proxy, std::uint32_t tier, ServerId node, Way way) const;
+  Duration link_delay(const Proxy& proxy, std::uint32_t tier, ServerId node) const;
+  void reset_links(const Cut& cut);
   void job_arrives(std::uint64_t job);
   void phase_done(std::uint64_t job);
   void sub_call(std::uint64_t job);
--- a/src/lab/standin.h
+++ b/src/lab/standin.h
@@ -127,7 +127,7 @@
 class Fleet {
  public:
   // Throws std::invalid_argument for a scenario that sockets can't play: more than one tier, or faults of other
-  // kinds than silent, errors, slow, late_reports, stale_list, crash, drain, partition, burst, tenant_burst and those of proxies.
+  // kinds than silent, errors, slow, late_reports, stale_list, crash, drain, burst, tenant_burst and those of links and proxies.
   Fleet(runtime::Scheduler& scheduler, const LabClock& clock, const emulator::Scenario& scenario, Books* books = nullptr);
   // Plays the faults by the clock. `proxies` is told when a fault of the processes themselves begins (true) and ends.
   using StrikeProxies = std::function<void(emulator::FaultKind kind, const std::vector<std::uint32_t>& struck, bool begins)>;
@@ -141,7 +141,7 @@
   void tell_at(const StandInNode& node, ServerState state, const std::function<Time(std::size_t agent)>& due);
   std::vector<ServerEntry> entries() const;
   std::size_t cut_off() const;
-  void cut(ServerId node, bool on);
+  void strike_links(const emulator::FaultSpec& fault, ServerId node, bool on);
   void strike_proxies(const emulator::FaultSpec& fault, bool begins);
   void begin(std::size_t fault);
   void end(std::size_t fault);
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -276,6 +276,7 @@
   const auto [listed, avoided] = balancer_.census(now());
   census.asked->members = listed;
   census.asked->unavailable = avoided;
+  census.asked->stage = recovery::name(course_.stage());
   census.asked->answer(200);
 }
 
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -111,6 +111,7 @@
 struct Asked {
   int status = 0;                              // as in HTTP; 0: not done yet
   std::size_t members = 0, unavailable = 0;  // of a Census
+  const char* stage = "";                    // of a Census: where the process stands on its way to full service
   runtime::Notifier done;
   void answer(int with) {
     status = with;
