--- a/src/config/operator_file.cpp
+++ b/src/config/operator_file.cpp
@@ -19,6 +19,11 @@
   if (s.has("place")) o.subset.place = static_cast<std::uint32_t>(s.integer("place", 0, 0, 100'000));
   if (o.subset.place && *o.subset.place >= o.subset.proxies) s.fault("place", "not under proxies");
   s.finish();
+  TomlReader n = r.table("snapshot");
+  o.snapshot.folder = n.text("folder", "");
+  const Duration every = n.span("every", o.snapshot.every, std::chrono::milliseconds(100));
+  o.snapshot.every = std::chrono::duration_cast<std::chrono::milliseconds>(every);
+  n.finish();
   r.finish();
   return o;
 }
--- a/src/config/operator_file.h
+++ b/src/config/operator_file.h
@@ -2,6 +2,7 @@
 // defaults here and nowhere else; every key is described in docs/operators/configuration.md.
 #pragma once
 
+#include <chrono>
 #include <string>
 
 #include "config/toml_reader.h"
@@ -10,8 +11,14 @@
 
 namespace beechhill::config {
 
+struct SnapshotSettings {
+  std::string folder;                     // on a disk that lasts; empty: none are kept
+  std::chrono::milliseconds every{2000};
+};
+
 struct OperatorSettings {
   log::Settings log;
+  SnapshotSettings snapshot;
   routing::SubsetSettings subset;
 };
 
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -187,6 +187,7 @@
   s.proxies = static_cast<std::uint32_t>(p.integer("count", 1, 1, kMostProxies));
   s.tries = static_cast<std::uint32_t>(p.integer("tries", s.tries, 1, 100));
   s.proxy_notice = p.span("notice", s.proxy_notice);
+  if (p.has("snapshot_age")) s.snapshot_age = p.span("snapshot_age", Duration{0});
   s.connect_timeout = p.span("connect_timeout", s.connect_timeout, Duration{1});
   s.may_probe = p.flag("probes", s.may_probe);
   s.may_cancel = p.flag("cancels", s.may_cancel);
--- a/src/emulator/scenario.h
+++ b/src/emulator/scenario.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -110,6 +111,7 @@
   Duration cross_zone{0};  // more, one way, between zones
   std::uint32_t proxies = 1, tries = 3;
   Duration proxy_notice{2'000'000};  // until the front knows that a proxy is dead
+  std::optional<Duration> snapshot_age;  // how old what a proxy that starts again finds on its disk is; nothing: it finds none
   Duration connect_timeout{100'000};
   Duration list_lag{1'000'000}, list_spread{200'000}, silent_notice{0};
   bool may_probe = true, may_cancel = true, parallel_tries = true;
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -92,6 +92,7 @@
     for (const Held& h : p.list)
       if (h.known) last.entries.push_back(h.entry);
     drive_list(index, last);
+    if (s_.snapshot_age) restore(index);
     queue_.add(now_ + kListAgain, Kind::kTold, index, p.life, kWholeList);
     if (p.tier == 0 && s_.clients.dealt_back) deal_back(index);
   } else {
@@ -376,6 +377,7 @@
     pass_on(*c, true, false, Duration{0}, useful);
   }
   const std::uint32_t proxy = c->proxy;
+  if (s_.snapshot_age) note(proxies_[proxy], c->attempts[attempt].node, report);
   drive(proxy, Outcome{id, attempt, result, c->over, report});
   tidy(id);
 }
@@ -751,6 +753,26 @@
   }
 }
 
+void World::note(Proxy& p, ServerId node, const LoadReport& report) {
+  if (p.kept.size() <= node) p.kept.resize(node + 1);
+  Proxy::Kept& kept = p.kept[node];
+  const std::optional<Time> born = node < p.list.size() ? p.list[node].entry.born : std::nullopt;
+  if (std::exchange(kept.born, born) != born) kept.note = {};
+  kept.note.add(now_, report);
+}
+
+// Its last snapshot, taken for as old as the scenario has it.
+void World::restore(std::uint32_t index) {
+  const std::vector<Proxy::Kept> kept = proxies_[index].kept;
+  for (ServerId node = 0; node < kept.size(); ++node) {
+    const snapshot::Note& note = kept[node].note;
+    if (!note.at || node >= proxies_[index].list.size()) continue;
+    const bool started = proxies_[index].list[node].entry.born != kept[node].born;
+    for (std::uint32_t i = snapshot::reports_for(*s_.snapshot_age + now_ - *note.at, started); i > 0; --i)
+      drive(index, ProbeResult{node, Result::kOk, LoadReport{note.utilisation, note.rate_per_s}});
+  }
+}
+
 // Each connection of a client comes to the proxy that is back with the chance that makes its part an even one.
 void World::deal_back(std::uint32_t index) {
   std::size_t alive = 0;
--- a/src/emulator/world.h
+++ b/src/emulator/world.h
@@ -18,6 +18,7 @@
 #include "emulator/rules.h"
 #include "emulator/scenario.h"
 #include "recovery/course.h"
+#include "snapshot/state.h"
 
 namespace beechhill::emulator {
 
@@ -126,6 +127,11 @@
     std::vector<Held> list;
     std::unordered_map<ServerId, Connections> connections;  // looked up only
     std::vector<std::uint64_t> calls;
+    struct Kept {  // on its disk
+      snapshot::Note note;
+      std::optional<Time> born;
+    };
+    std::vector<Kept> kept;  // by node; only where the scenario keeps snapshots
   };
   struct Cut {  // a fault of links in force
     std::size_t fault = 0;
@@ -200,6 +206,8 @@
   void wake(std::uint32_t proxy, bool whole_list);
   bool held_back(const Happening& h);
   void deal_back(std::uint32_t proxy);
+  void note(Proxy& proxy, ServerId node, const LoadReport& report);
+  void restore(std::uint32_t proxy);
   void close_second(std::uint64_t window);
   void happen(const Happening& h);
   void sum_up();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -97,6 +97,7 @@
                                    {"experiment", "[lab] Run a grid of scenarios, policies and seeds"},
                                    {"plot", "[lab] Draw results into one HTML page"},
                                    {"nodes", "[lab] Play stand-in nodes and their discovery on loopback"},
+                                   {"fleet", "[lab] Many processes under a fault plan, judged by books"},
                                    {"demo", "[lab] Nodes, discovery, the real proxy and a load, all on this machine"}}) {
     c = app.add_subcommand(name, text);
     c->prefix_command();
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -23,7 +23,7 @@
 
 DecisionActor::DecisionActor(runtime::Scheduler& scheduler, const config::Config& config,
                              PeerFactory make_peer, WatchBox& watch, const routing::SubsetSettings& subset,
-                             std::set<std::string> barred)
+                             std::set<std::string> barred, std::vector<snapshot::Row> learned)
     : scheduler_(scheduler),
       make_peer_(std::move(make_peer)),
       watch_(watch),
@@ -36,6 +36,7 @@
       balancer_(now(), config.named.settings, actions_) {
   if (subset.nodes > 0)
     subset_.emplace(subset, routing::unit_for(config.named.settings.classes), config.name);
+  for (snapshot::Row& row : learned) claims_.try_emplace(row.host, row);
   zones_.id(config.named.zone);  // the settings' own zone is number 0
   perform();
   take_list(config.known, ListKind::kLastHeld);
@@ -151,6 +152,7 @@
   } else if (rest) {
     rest->leave();
   }
+  if (done.attempt < entry.servers.size()) backends_[entry.servers[done.attempt]].note.add(now(), done.report);
   const Outcome outcome{done.operation, done.attempt, done.result, entry.over, done.report, spent};
   drive(outcome);
   tidy(done.operation);
@@ -252,6 +254,9 @@
   std::vector<ServerId> mentioned;
   for (const ServerEntry& e : discovery.entries) mentioned.push_back(e.server);
   drive(part_of(std::move(discovery), hashes));
+  if (!claims_.empty())
+    for (const ServerId id : mentioned) believe(id);
+  if (kind == ListKind::kFull) claims_.clear();  // who is not in it is not there
   if (kind == ListKind::kChanges) {
     for (const ServerId id : mentioned) let_go(id);
   } else {
@@ -308,17 +313,46 @@
 void DecisionActor::tell(ServerId server, PeerStatus status) {
   Backend& backend = backends_[server];
   backend.state = status.state;
-  if (status.state != ServerState::kRemoved) backend.address = status.address, backend.born = status.born;
+  if (status.state != ServerState::kRemoved) {
+    if (backend.born != status.born) backend.note = {};
+    backend.address = status.address, backend.born = status.born;
+  }
   // To its peer a backend that is left out is one that drains: what is not begun stays unsent, idle connections go.
   if (backend.barred && status.state == ServerState::kUp) status.state = ServerState::kDraining;
   if (!backends_[server].peer->post(status)) log_lost("peer_status");
 }
 
+// What an earlier process had learned of it comes as the reports that it stands for.
+void DecisionActor::believe(ServerId server) {
+  const auto it = claims_.find(servers_.name(server));
+  if (it == claims_.end()) return;
+  const snapshot::Row row = it->second;
+  claims_.erase(it);
+  const Duration age = now() + unix_offset_ - std::chrono::duration_cast<Time>(row.at);
+  const LoadReport report{row.utilisation, row.rate_per_s};
+  const std::uint32_t reports = snapshot::reports_for(age, row.born != backends_[server].born);
+  for (std::uint32_t i = reports; i > 0; --i) drive(ProbeResult{server, Result::kOk, report});
+  // A process that dies before it has learned itself hands on what it was given.
+  if (reports > 0) backends_[server].note = {row.utilisation, row.rate_per_s, now() - age};
+}
+
+std::vector<snapshot::Row> DecisionActor::learned() const {
+  const auto unix_ms = [this](Time t) { return std::chrono::duration_cast<std::chrono::milliseconds>(t + unix_offset_); };
+  std::vector<snapshot::Row> rows;
+  for (const auto& [host, row] : claims_) rows.push_back(row);
+  for (ServerId id = 0; id < backends_.size() && rows.size() < snapshot::kMostRows; ++id) {
+    const Backend& b = backends_[id];
+    if (b.peer && b.note.at) rows.push_back({servers_.name(id), b.born, unix_ms(*b.note.at), b.note.utilisation, b.note.rate_per_s});
+  }
+  return rows;
+}
+
 // Frees what belongs to a backend that is gone, once nothing refers to it: days are long, and backends many.
 void DecisionActor::let_go(ServerId server) {
   Backend& backend = backends_[server];
   if (!backend.peer || backend.state != ServerState::kRemoved || backend.used > 0) return;
   backend.peer.reset();
+  backend.note = {};
   if (backend.barred) bar(server, false);  // its number may be another's next; barred_ keeps the ban
   const std::string& host = servers_.name(server);
   if (gone_.insert(host).second) gone_order_.push_back(host);
@@ -335,6 +369,7 @@
 }
 
 void DecisionActor::on(ProbeDone& done) {
+  backends_[done.server].note.add(now(), done.report);
   drive(ProbeResult{done.server, done.result, done.report});
   --backends_[done.server].used;
   let_go(done.server);
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -15,6 +15,7 @@
 #include "proxy/operation.h"
 #include "recovery/course.h"
 #include "routing/subset.h"
+#include "snapshot/state.h"
 
 namespace beechhill::proxy {
 
@@ -23,15 +24,18 @@
   using PeerFactory = std::function<std::unique_ptr<Peer>(DecisionBox&, ServerId, const sockaddr_in&)>;
 
   // `watch` is where the module's orders to watch discovery go. With `subset.nodes` 0 the module hears of every node.
-  // `barred`: ids that operators had left out when this process started.
+  // `barred`: ids that operators had left out when this process started. `learned`: what an earlier process of this name
+  // had learned, believed only of backends that a list names, in the same start.
   DecisionActor(runtime::Scheduler& scheduler, const config::Config& config, PeerFactory make_peer, WatchBox& watch,
-                const routing::SubsetSettings& subset = {}, std::set<std::string> barred = {});
+                const routing::SubsetSettings& subset = {}, std::set<std::string> barred = {},
+                std::vector<snapshot::Row> learned = {});
 
   DecisionBox& inbox() { return inbox_; }
   bool has_list() const { return course_.stage() != recovery::Stage::kEmpty; }
   bool heard() const { return heard_; }  // from discovery, since the start
   // Whether what is held may decide where something new goes: not within a gap, nor until discovery was heard after it.
   bool current() const { return course_.current(now()); }
+  std::vector<snapshot::Row> learned() const;  // so far, with Unix times
   runtime::Task<> run();
 
  private:
@@ -50,6 +54,7 @@
     sockaddr_in address{};
     std::chrono::milliseconds born{0};
     std::size_t used = 0;                       // operations' attempts and probes that refer to it
+    snapshot::Note note;                        // of this start
   };
 
   bool returning();
@@ -75,6 +80,7 @@
   void tell(ServerId server, PeerStatus status);
   Discovery part_of(Discovery list, const std::vector<std::uint64_t>& hashes);
   void let_go(ServerId server);
+  void believe(ServerId server);
 
   void act(const Send& a);
   void act(const Cancel& a);
@@ -92,6 +98,7 @@
   std::set<std::string> barred_;  // left out by hand, by id: a ban outlasts what the list says
   std::uint32_t most_tries_;
   Time unix_offset_;  // Unix time less the module's clock
+  std::unordered_map<std::string, snapshot::Row> claims_;  // of an earlier process, by host, until a list names it
   bool heard_ = false;
   recovery::Course course_;
   recovery::Stage said_ = recovery::Stage::kEmpty;  // in the log
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -19,6 +19,7 @@
 #include "proxy/log.h"
 #include "proxy/peer_actor.h"
 #include "proxy/pool_config_actor.h"
+#include "snapshot/keeper.h"
 
 namespace beechhill::service {
 
@@ -65,6 +66,38 @@
   }
 }
 
+std::chrono::milliseconds unix_now() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+// What learning depends on: under another zone, tier or other classes it says nothing.
+std::string fleet_of(const config::Config& config) {
+  std::string text = config.named.zone + "/" + std::to_string(config.named.settings.tier);
+  for (const std::string& name : config.named.classes) text += "/" + name;
+  return text;
+}
+
+// Null where none are kept; without them the service goes on as from an empty start.
+std::unique_ptr<snapshot::Keeper> open_keeper(const config::Config& config, const config::SnapshotSettings& settings) {
+  if (settings.folder.empty()) return nullptr;
+  try {
+    return std::make_unique<snapshot::Keeper>(settings.folder, config.name, fleet_of(config));
+  } catch (const std::exception& error) {
+    log_fault("snapshot_off", error);
+    return nullptr;
+  }
+}
+
+runtime::Task<> keep_snapshots(runtime::Scheduler& scheduler, snapshot::Keeper& keeper, const DecisionActor& decisions,
+                               std::chrono::milliseconds every) {
+  for (;;) {
+    runtime::Wait wait(scheduler);
+    wait.until(runtime::Clock::now() + every);
+    co_await wait;
+    keeper.keep(decisions.learned(), unix_now());
+  }
+}
+
 runtime::Task<> tend(runtime::Scheduler& scheduler, FrontDoor& door) {
   co_await door.tend();
   log::info("ended");
@@ -136,7 +169,11 @@
   };
   PoolConfigActor pool_config(scheduler, config);
   const handover::SharedState before = folder ? folder->state() : handover::SharedState{};
-  DecisionActor decisions(scheduler, config, make_peer, pool_config.inbox(), settings.subset, before.barred);
+  const std::unique_ptr<snapshot::Keeper> keeper = open_keeper(config, settings.snapshot);
+  std::optional<snapshot::Snapshot> found = keeper ? keeper->found(unix_now()) : std::nullopt;
+  if (found) log::info("snapshot_found", {{"rows", static_cast<std::uint64_t>(found->rows.size())}});
+  DecisionActor decisions(scheduler, config, make_peer, pool_config.inbox(), settings.subset, before.barred,
+                          found ? std::move(found->rows) : std::vector<snapshot::Row>{});
   pool.current = [&decisions] { return decisions.current(); };
   // What the list last held says may be old: with another process there to serve, discovery is heard first.
   const runtime::TimePoint patience = runtime::Clock::now() + kHearDiscovery;
@@ -172,7 +209,9 @@
   log::info("serving", {{"address", std::string_view(address)},
                         {"name", std::string_view(config.name)},
                         {"admin", std::string_view(admin)}});
+  if (keeper) scheduler.spawn(keep_snapshots(scheduler, *keeper, decisions, settings.snapshot.every));
   scheduler.run();
+  if (keeper) keeper->keep(decisions.learned(), unix_now());
 }
 
 }  // namespace beechhill::service
