The lab keeps its ports while a proxy or a node is away

Cause: fleet.all_restart_twice met a wrong answer once, with other tests beside it: the port of a killed process is free, and the system may give it to whoever asks for one. Not caught in the act; the mechanism is plain, and lab_test's restart has it too.

--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <fmt/format.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -21,9 +22,15 @@
 using runtime::Task;
 using runtime::Wait;
 
-sockaddr_in free_address(runtime::Scheduler& scheduler) {
-  const net::Listener listener(scheduler, *net::parse_address("127.0.0.1:0"));
-  return listener.address();
+// Bound with SO_REUSEADDR and never listening: listeners that say the same may bind it too, and the system gives it to no one else.
+ReservedPort::ReservedPort()
+    : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)), address_(*net::parse_address("127.0.0.1:0")) {
+  const int on = 1;
+  socklen_t size = sizeof address_;
+  sockaddr* const address = reinterpret_cast<sockaddr*>(&address_);
+  if (!fd_ || ::setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) < 0 || ::bind(fd_.get(), address, size) < 0 ||
+      ::getsockname(fd_.get(), address, &size) < 0)
+    throw std::runtime_error("no port on loopback is free");
 }
 
 ProxyProcess::ProxyProcess(const experiments::TempFolder& folder, const std::string& program, Json::Value config,
--- a/src/lab/process.h
+++ b/src/lab/process.h
@@ -13,9 +13,17 @@
 
 namespace beechhill::lab {
 
-// A free port: whoever is to listen on it is told only its number, so it is given back first. Loopback ports are given
-// out in turn, so that it is not given to another meanwhile.
-sockaddr_in free_address(runtime::Scheduler& scheduler);
+// A free port on loopback, kept so while this stands: whoever is told its number may listen on it, also after it was away, and
+// nobody is given it meanwhile. Throws std::runtime_error where there is none.
+class ReservedPort {
+ public:
+  ReservedPort();
+  const sockaddr_in& address() const { return address_; }
+
+ private:
+  net::Fd fd_;
+  sockaddr_in address_{};
+};
 
 class ProxyProcess {
  public:
--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -80,7 +80,7 @@
         struck_(s_.proxies),
         progress_(progress) {
     for (std::uint32_t i = 0; i < s_.proxies; ++i) {
-      const sockaddr_in address = free_address(scheduler_);
+      const sockaddr_in address = ports_.emplace_back().address();
       Json::Value config = proxy_config(s_, fmt::format("proxy-{}", i), net::to_string(address), fleet_, s_.seed * 1000 + i, i);
       proxies_.push_back(std::make_unique<ProxyProcess>(folder_, program, std::move(config), address));
     }
@@ -223,6 +223,7 @@
   LabClock clock_;
   Books books_;
   Fleet fleet_;
+  std::vector<ReservedPort> ports_;  // of the proxies, also while they are away
   std::vector<std::unique_ptr<ProxyProcess>> proxies_;
   std::vector<Struck> struck_;
   std::unique_ptr<Load> load_;
@@ -235,7 +236,7 @@
  public:
   CostRun(const emulator::Scenario& scenario, const std::string& program)
       : s_(scenario), fleet_(scheduler_, clock_, s_) {
-    const sockaddr_in address = free_address(scheduler_);
+    const sockaddr_in address = port_.address();
     Json::Value config = proxy_config(s_, "proxy-0", net::to_string(address), fleet_, s_.seed * 1000);
     config["limits"]["sockets"] = 16'384;
     proxy_ = std::make_unique<ProxyProcess>(folder_, program, std::move(config), address);
@@ -270,6 +271,7 @@
   runtime::Scheduler scheduler_;
   LabClock clock_;
   Fleet fleet_;
+  const ReservedPort port_;
   std::unique_ptr<ProxyProcess> proxy_;
 };
 
--- a/src/lab/standin.cpp
+++ b/src/lab/standin.cpp
@@ -71,17 +71,15 @@
       model_(spec_, scenario.seed, id, std::nullopt, clock.now()),
       random_(scenario.seed, emulator::Actor::kNode, id + (1ULL << 32)),
       id_(id),
-      address_(any_port()),
       books_(books) {
   listen();
   scheduler_.spawn(tick());
 }
 
-std::string StandInNode::address() const { return net::to_string(address_); }
+std::string StandInNode::address() const { return net::to_string(dial()); }
 
 void StandInNode::listen() {
-  listener_ = std::make_unique<net::Listener>(scheduler_, address_);
-  address_ = listener_->address();  // the same port in each life
+  listener_ = std::make_unique<net::Listener>(scheduler_, dial());
   accepting_ = scheduler_.spawn(accept());
 }
 
--- a/src/lab/standin.h
+++ b/src/lab/standin.h
@@ -14,6 +14,7 @@
 
 #include "emulator/node.h"
 #include "lab/books.h"
+#include "lab/process.h"
 #include "lab/relay.h"
 #include "net/socket.h"
 #include "runtime/scheduler.h"
@@ -36,7 +37,7 @@
   // `books`, if any, must outlive it.
   StandInNode(runtime::Scheduler& scheduler, const LabClock& clock, const emulator::Scenario& scenario, ServerId id,
               Books* books = nullptr);
-  const sockaddr_in& dial() const { return address_; }
+  const sockaddr_in& dial() const { return port_.address(); }
   std::string address() const;
   void set_mode(Mode mode);         // coming up from anything else starts it again, cold
   void set_errors(double share) { errors_ = share; }
@@ -67,7 +68,7 @@
   emulator::Node model_;
   emulator::Stream random_;
   ServerId id_;
-  sockaddr_in address_{};
+  const ReservedPort port_;  // the same in each life
   std::unique_ptr<net::Listener> listener_;
   runtime::TaskId accepting_ = 0;
   std::set<runtime::TaskId> serving_;
