--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -289,7 +289,8 @@
     survey_now_and_then();
     const double met = seconds(kEvidenceSpan) * send_rate();
     const double even = std::max(met / kAnswers, kCover * static_cast<double>(ups()) / s_.replicas);
-    in_use_ = std::min<double>(ups(), std::max(kFewServers, std::min(met, even)));
+    const double warm = std::max(1, warm_servers_) / static_cast<double>(ups());  // cold ones bear little
+    in_use_ = std::min<double>(ups(), std::max(kFewServers, std::min(met, even)) / warm);
     const auto best = least_loaded(c, in_use_);
     return best ? best : least_loaded(c, kOpen);
   }
@@ -550,8 +551,7 @@
   }
 
   void withdraw(Call& c) {
-    unhold(c);
-    present_ -= c.width;
+    unhold(c), present_ -= c.width;
     settle(c);
   }
 
