--- a/src/emulator/clients.cpp
+++ b/src/emulator/clients.cpp
@@ -100,6 +100,11 @@
   return Duration{0};
 }
 
+void deal_back(std::vector<std::uint32_t>& homes, std::uint32_t proxy, std::size_t alive, Stream& random) {
+  for (std::uint32_t& home : homes)
+    if (home != proxy && random.below(std::max<std::size_t>(1, alive)) == 0) home = proxy;
+}
+
 Duration patience_of(const Scenario& s, ClassId c, Stream& random) {
   const double whole = to_s(s.classes[c].settings.deadline);
   return std::max(Duration{1}, to_span(whole * random.uniform(s.clients.patience)));
--- a/src/emulator/clients.h
+++ b/src/emulator/clients.h
@@ -46,6 +46,8 @@
 // How long the client waits before it tries again; nothing where it does not, because it never does, has done so
 // often enough, or the effect may be there already.
 std::optional<Duration> wait_before_retry(const Scenario& s, const FailedTry& failed, Stream& random);
+// A proxy is back: each connection comes to it with the chance that makes its part of the `alive` ones' an even one.
+void deal_back(std::vector<std::uint32_t>& homes, std::uint32_t proxy, std::size_t alive, Stream& random);
 // How long it waits for the answer to one try.
 Duration patience_of(const Scenario& s, ClassId c, Stream& random);
 
--- a/src/emulator/rules.h
+++ b/src/emulator/rules.h
@@ -14,6 +14,7 @@
 namespace beechhill::emulator {
 
 enum class Rule { kOneAnswer, kEffects, kDrains, kCold };
+inline constexpr std::array kRules{Rule::kOneAnswer, Rule::kEffects, Rule::kDrains, Rule::kCold};
 const char* name_of(Rule rule);
 
 struct Violation {
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -94,7 +94,7 @@
     drive_list(index, last);
     if (s_.snapshot_age) restore(index);
     queue_.add(now_ + kListAgain, Kind::kTold, index, p.life, kWholeList);
-    if (p.tier == 0 && s_.clients.dealt_back) deal_back(index);
+    if (p.tier == 0 && s_.clients.dealt_back) connections_back(index);
   } else {
     told(index, kWholeList);
   }
@@ -773,12 +773,10 @@
   }
 }
 
-// Each connection of a client comes to the proxy that is back with the chance that makes its part an even one.
-void World::deal_back(std::uint32_t index) {
+void World::connections_back(std::uint32_t index) {
   std::size_t alive = 0;
   for (const std::uint32_t p : by_tier_[0]) alive += proxies_[p].alive && !proxies_[p].leaving;
-  for (std::uint32_t& home : connections_)
-    if (home != index && client_random_.below(alive) == 0) home = index;
+  deal_back(connections_, index, alive, client_random_);
 }
 
 void World::begin_fault(std::size_t fault) {
--- a/src/emulator/world.h
+++ b/src/emulator/world.h
@@ -205,7 +205,7 @@
   void continue_proxy(std::uint32_t proxy);
   void wake(std::uint32_t proxy, bool whole_list);
   bool held_back(const Happening& h);
-  void deal_back(std::uint32_t proxy);
+  void connections_back(std::uint32_t proxy);
   void note(Proxy& proxy, ServerId node, const LoadReport& report);
   void restore(std::uint32_t proxy);
   void close_second(std::uint64_t window);
--- a/src/experiments/experiment.cpp
+++ b/src/experiments/experiment.cpp
@@ -60,13 +60,34 @@
 
 }  // namespace
 
+std::unique_ptr<emulator::World> world_of(const emulator::Scenario& scenario, const std::string& policy) {
+  return std::make_unique<emulator::World>(scenario, [policy](Time now, const Settings& settings, const emulator::TrueState& truth,
+                                                              std::vector<Action>& actions) {
+    return emulator::make_policy(policy, now, settings, truth, actions);
+  });
+}
+
+Json::Value row_of(const emulator::Scenario& scenario, const std::string& policy, const Json::Value& result) {
+  Json::Value row;
+  row["cell"]["policy"] = policy;
+  row["cell"]["seed"] = static_cast<Json::UInt64>(scenario.seed);
+  row["cell"]["scenario"] = scenario.name;
+  row["cell"]["params"] = Json::Value(Json::objectValue);
+  row["result"] = result;
+  return row;
+}
+
+void write_lines(const std::string& path, const std::vector<Json::Value>& rows) {
+  std::ofstream out(path);
+  for (const Json::Value& row : rows) out << one_line(row) << "\n";
+  if (!out.flush()) throw std::runtime_error(path + ": cannot be written");
+}
+
 RunOutput run_scenario(const emulator::Scenario& scenario, const std::string& policy, bool series,
                        const emulator::Progress& progress) {
   const auto begun = std::chrono::steady_clock::now();
-  emulator::World world(scenario, [&policy](Time now, const Settings& settings, const emulator::TrueState& truth,
-                                            std::vector<Action>& actions) {
-    return emulator::make_policy(policy, now, settings, truth, actions);
-  });
+  const std::unique_ptr<emulator::World> played = world_of(scenario, policy);
+  emulator::World& world = *played;
   world.run(progress);
   RunOutput out;
   out.wall_s = std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
@@ -83,8 +104,7 @@
     out.result["recovery_s"] = world.metrics().recovery_s(to, scenario.length, 0.95 * before);
   }
   const emulator::RuleChecker& rules = world.rules();
-  for (const emulator::Rule rule : {emulator::Rule::kOneAnswer, emulator::Rule::kEffects, emulator::Rule::kDrains,
-                                    emulator::Rule::kCold})
+  for (const emulator::Rule rule : emulator::kRules)
     out.result["rules"][emulator::name_of(rule)] = static_cast<Json::UInt64>(rules.count(rule));
   out.result["left_over"] = static_cast<Json::UInt64>(world.left_over());
   out.violations = rules.all();
--- a/src/experiments/experiment.h
+++ b/src/experiments/experiment.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -66,6 +67,14 @@
                        const std::function<void(std::size_t, std::size_t)>& progress = {},
                        const std::function<bool()>& stop = {});
 
+// A world whose proxies decide by that policy, one of policy_names().
+std::unique_ptr<emulator::World> world_of(const emulator::Scenario& scenario, const std::string& policy);
+
+// One run's line in a result file, with no grid.
+Json::Value row_of(const emulator::Scenario& scenario, const std::string& policy, const Json::Value& result);
+// Throws std::runtime_error where it cannot be written.
+void write_lines(const std::string& path, const std::vector<Json::Value>& rows);
+
 // The lines of a result file: whole ones only. `torn` tells that the last was not.
 std::vector<Json::Value> read_lines(const std::string& path, bool& torn);
 
--- a/src/handover/state.cpp
+++ b/src/handover/state.cpp
@@ -1,9 +1,8 @@
 #include "handover/state.h"
 
-#include <json/json.h>
-#include <xxhash.h>
+#include <utility>
 
-#include <memory>
+#include "config/sealed.h"
 
 namespace beechhill::handover {
 namespace {
@@ -11,8 +10,6 @@
 constexpr int kFormat = 1;
 constexpr const char* kMagic = "beechhill-handover";
 
-std::string checksum(std::string_view line) { return std::to_string(XXH64(line.data(), line.size(), 0)); }
-
 }  // namespace
 
 void apply(SharedState& state, Change change, const std::string& host) {
@@ -32,27 +29,17 @@
 
 std::string encode(const SharedState& state) {
   Json::Value root;
-  root["is"] = kMagic;
-  root["format"] = kFormat;
   root["generation"] = Json::UInt64(state.generation);
   root["drained"] = state.drained;
   root["barred"] = Json::Value(Json::arrayValue);
   for (const std::string& host : state.barred) root["barred"].append(host);
-  Json::StreamWriterBuilder writer;
-  writer["indentation"] = "";
-  const std::string line = Json::writeString(writer, root);
-  return line + "\n" + checksum(line) + "\n";
+  return config::seal(std::move(root), kMagic, kFormat);
 }
 
 std::optional<SharedState> decode(std::string_view text) {
-  const auto end = text.find('\n');
-  if (end == std::string_view::npos) return std::nullopt;
-  const std::string_view line = text.substr(0, end);
-  if (text.substr(end + 1) != checksum(line) + "\n") return std::nullopt;
-  Json::Value root;
-  const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-  if (!reader->parse(line.data(), line.data() + line.size(), &root, nullptr) || !root.isObject()) return std::nullopt;
-  if (root["is"] != kMagic || root["format"] != kFormat) return std::nullopt;
+  const auto sealed = config::unseal(text, kMagic, kFormat);
+  if (!sealed) return std::nullopt;
+  const Json::Value& root = *sealed;
   if (!root["generation"].isUInt64() || !root["drained"].isBool() || !root["barred"].isArray()) return std::nullopt;
   SharedState state;
   state.generation = root["generation"].asUInt64();
--- a/src/lab/books.cpp
+++ b/src/lab/books.cpp
@@ -59,7 +59,7 @@
   tidy();
   // By the longest deadline, so that the order of asking is that of leaving.
   const Time until = now_() + emulator::longest_deadline(s_) + kKeptAfter;
-  open_[call] = {proxy, now_(), until, 0};
+  open_[call] = {proxy, now_(), 0};
   by_age_.emplace_back(until, call);
   rules_.taken(now_(), call, c, deadline);
 }
--- a/src/lab/books.h
+++ b/src/lab/books.h
@@ -2,8 +2,6 @@
 // The rules are judged from them by the emulator's checker, never by a proxy's word.
 #pragma once
 
-#include <json/json.h>
-
 #include <deque>
 #include <functional>
 #include <map>
@@ -70,7 +68,7 @@
  private:
   struct Open {
     std::size_t proxy = 0;
-    Time asked{0}, kept_until{0};
+    Time asked{0};
     std::uint32_t attempts = 0;
   };
   struct Told {
--- a/src/lab/fleet/fleet.cpp
+++ b/src/lab/fleet/fleet.cpp
@@ -1,7 +1,6 @@
 #include "lab/fleet/fleet.h"
 
 #include <fmt/format.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cstdio>
@@ -9,6 +8,7 @@
 #include <memory>
 
 #include "emulator/world.h"
+#include "experiments/experiment.h"
 #include "experiments/plot.h"
 #include "lab/fleet/plan.h"
 #include "lab/sockets.h"
@@ -33,10 +33,10 @@
   std::optional<Time> back;
 };
 
-Half play_half(const Scenario& s, const Stage& stage) {
+Half play_half(const Scenario& s, const Player& player) {
   Half h;
-  if (!stage.emulated) {
-    SocketRun run = play_on_sockets(s, stage.program);
+  if (!player.emulated) {
+    SocketRun run = play_on_sockets(s, player.program);
     h.metrics = std::move(run.metrics);
     h.result = std::move(run.result);
     h.connections = run.most_connections, h.arrivals = run.most_arrivals, h.lists = run.most_lists;
@@ -46,11 +46,7 @@
     if (run.last_back > Time{0}) h.back = run.last_back;
     return h;
   }
-  const std::string& policy = stage.policy;
-  h.world = std::make_unique<emulator::World>(s, [&policy](Time now, const Settings& settings, const emulator::TrueState& truth,
-                                                           std::vector<Action>& actions) {
-    return emulator::make_policy(policy, now, settings, truth, actions);
-  });
+  h.world = experiments::world_of(s, player.policy);
   h.world->run();
   h.metrics = h.world->metrics();
   h.result = h.metrics->to_json(true);
@@ -63,12 +59,7 @@
 }
 
 Json::Value as_row(const Play& p, const Scenario& s, const char* what) {
-  Json::Value row;
-  row["cell"]["policy"] = what;
-  row["cell"]["seed"] = number(s.seed);
-  row["cell"]["scenario"] = s.name;
-  row["cell"]["params"] = Json::Value(Json::objectValue);
-  row["result"] = p.result;
+  Json::Value row = experiments::row_of(s, what, p.result);
   Json::Value& r = row["result"];
   if (p.back.full_after) r["full_after_s"] = emulator::to_s(*p.back.full_after);
   r["worth_lost_s"] = p.back.worth_lost;
@@ -95,7 +86,7 @@
 struct Options {
   std::string file, json, html;
   std::vector<std::string> changes;
-  Stage stage;
+  Player player;
   std::int64_t seed = -1;
   std::uint32_t seeds = 1;
   bool draw = false, smaller = false;
@@ -118,7 +109,7 @@
     faults = shrink(faults, kMostShrinkPlays, [&](const std::vector<emulator::FaultSpec>& fewer) {
       Scenario less = s;
       less.faults = fewer;
-      return play_half(less, o.stage).broken > 0;
+      return play_half(less, o.player).broken > 0;
     });
   std::fprintf(stderr, "%s# seed %llu: a plan that shows it\n%s", play.broken_text.c_str(),
                static_cast<unsigned long long>(s.seed), to_toml(s, faults).c_str());
@@ -127,7 +118,7 @@
 int fleet(const Options& o) {
   const Scenario first = scenario_of(o, 0);
   fmt::print("{}: {} {} before {} backends, {:.0f} requests/s for {:g} s\n", first.name, first.proxies,
-             o.stage.emulated ? "emulated proxies" : "processes", first.tiers[0].nodes, emulator::rate_per_s(first),
+             o.player.emulated ? "emulated proxies" : "processes", first.tiers[0].nodes, emulator::rate_per_s(first),
              emulator::to_s(first.length));
   fmt::print("{:>12} {:>9} {:>9} {:>7} {:>7} {:>17} {:>17} {:>6} {:>7}\n", "seed", "goodput", "control", "full s", "lost s",
              "connections/s", "arrivals/s", "lists", "broken");
@@ -137,7 +128,7 @@
   std::uint64_t broken = 0;
   for (std::uint32_t turn = 0; turn < o.seeds; ++turn) {
     const Scenario s = scenario_of(o, turn);
-    const Play p = play_fleet(s, o.stage);
+    const Play p = play_fleet(s, o.player);
     times.push_back(p.back.full_after);
     lost.push_back(p.back.worth_lost);
     broken += p.broken;
@@ -145,22 +136,15 @@
                in_seconds(p.back.full_after), p.back.worth_lost, fmt::format("{} ({})", p.most_connections, p.control_connections),
                fmt::format("{} ({})", p.most_arrivals, p.control_arrivals), p.most_lists, p.broken);
     std::fflush(stdout);
-    rows.push_back(as_row(p, s, o.stage.emulated ? o.stage.policy.c_str() : "real proxies"));
+    rows.push_back(as_row(p, s, o.player.emulated ? o.player.policy.c_str() : "real proxies"));
     if (p.broken > 0) tell_broken(o, s, p);
   }
   std::sort(lost.begin(), lost.end());
-  if (o.stage.control)
+  if (o.player.control)
     fmt::print("full service after: median {} s, worst {} s; lost: median {:.2f}, worst {:.2f} seconds' worth\n",
              in_seconds(middle(times, (times.size() - 1) / 2)), in_seconds(middle(times, times.size() - 1)),
              lost[(lost.size() - 1) / 2], lost.back());
-  if (!o.json.empty()) {
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    builder["precision"] = 9;
-    std::ofstream out(o.json);
-    for (const Json::Value& row : rows) out << Json::writeString(builder, row) << "\n";
-    if (!out.flush()) throw std::runtime_error(o.json + ": cannot be written");
-  }
+  if (!o.json.empty()) experiments::write_lines(o.json, rows);
   if (!o.html.empty()) {
     std::ofstream out(o.html);
     if (!(out << experiments::html_report(first.name, rows, {})).flush()) throw std::runtime_error(o.html + ": cannot be written");
@@ -170,14 +154,13 @@
 
 }  // namespace
 
-Play play_fleet(const Scenario& s, const Stage& stage) {
+Play play_fleet(const Scenario& s, const Player& player) {
   const Scenario calm = control_of(s);
-  const Half real = play_half(s, stage);
-  const Half control = stage.control ? play_half(calm, stage) : Half{};
+  const Half real = play_half(s, player);
+  const Half control = player.control ? play_half(calm, player) : Half{};
   const Span struck = processes_struck(s);
   Play p;
   p.result = real.result;
-  p.tenths = real.metrics->tenths;
   p.goodput = real.metrics->goodput();
   if (control.metrics) {
     p.control_goodput = control.metrics->goodput();
@@ -193,15 +176,15 @@
 
 void add_fleet_command(CLI::App& app, int& code) {
   const auto o = std::make_shared<Options>();
-  o->stage.program = program_beside_us();
+  o->player.program = program_beside_us();
   CLI::App* c = app.add_subcommand("fleet", "Play many proxies under a fault plan, against a control without it, and judge by the books");
   c->add_option("scenario", o->file, "Scenario file of one tier, with its faults (TOML)")->required();
-  c->add_flag("--emulated", o->stage.emulated, "In the emulator, not with real processes");
-  c->add_option("--policy", o->stage.policy, "Who decides in the emulator")->check(CLI::IsMember(emulator::policy_names()))->capture_default_str();
-  c->add_option("--proxy", o->stage.program, "The proxy program");
+  c->add_flag("--emulated", o->player.emulated, "In the emulator, not with real processes");
+  c->add_option("--policy", o->player.policy, "Who decides in the emulator")->check(CLI::IsMember(emulator::policy_names()))->capture_default_str();
+  c->add_option("--proxy", o->player.program, "The proxy program");
   c->add_option("--seed", o->seed, "In place of the scenario's seed")->check(CLI::NonNegativeNumber);
   c->add_option("--seeds", o->seeds, "So many plays, with this seed and the next ones")->check(CLI::Range(1u, 10'000u))->capture_default_str();
-  c->add_flag("!--alone", o->stage.control, "Without the control: the rules and the books are judged, the return is not");
+  c->add_flag("!--alone", o->player.control, "Without the control: the rules and the books are judged, the return is not");
   c->add_flag("--draw", o->draw, "Faults drawn from the seed in place of the scenario's");
   c->add_flag("--shrink", o->smaller, "Make a plan smaller that breaks a rule, while it still does");
   c->add_option("--set", o->changes, "KEY=VALUE in place of the scenario's, such as fault.0.part=0.7");
--- a/src/lab/fleet/fleet.h
+++ b/src/lab/fleet/fleet.h
@@ -3,9 +3,7 @@
 #pragma once
 
 #include <CLI/CLI.hpp>
-#include <optional>
 #include <string>
-#include <vector>
 
 #include "emulator/metrics.h"
 
@@ -13,7 +11,6 @@
 
 struct Play {
   Json::Value result;  // in the emulator's form, with its series
-  std::vector<emulator::Tenth> tenths;
   emulator::Return back;  // against the control
   double goodput = 0, control_goodput = 0;
   // At one backend in one second, after the warm-up.
@@ -23,14 +20,14 @@
   std::string broken_text;       // the first few, with their traces
 };
 
-struct Stage {  // what plays it
+struct Player {  // what plays it
   bool emulated = false;
   std::string policy = "module";  // in the emulator
   std::string program;            // on sockets
   bool control = true;            // without it, nothing is known of the return
 };
 // Blocks; on sockets for twice the scenario's length and a little. Throws as play_on_sockets does.
-Play play_fleet(const emulator::Scenario& scenario, const Stage& stage);
+Play play_fleet(const emulator::Scenario& scenario, const Player& player);
 
 // `fleet`; `code` becomes the exit code.
 void add_fleet_command(CLI::App& app, int& code);
--- a/src/lab/load.cpp
+++ b/src/lab/load.cpp
@@ -27,7 +27,7 @@
 }  // namespace
 
 Load::Load(runtime::Scheduler& scheduler, const LabClock& clock, const emulator::Scenario& scenario,
-           std::vector<sockaddr_in> proxies, Books* books)
+           std::vector<sockaddr_in> proxies, Books& books)
     : scheduler_(scheduler),
       clock_(clock),
       s_(scenario),
@@ -47,8 +47,7 @@
 void Load::deal_back(std::size_t proxy) {
   if (!s_.clients.dealt_back) return;
   const auto alive = static_cast<std::size_t>(std::count(offered_.begin(), offered_.end(), true));
-  for (std::uint32_t& home : homes_)
-    if (home != proxy && random_.below(std::max<std::size_t>(1, alive)) == 0) home = static_cast<std::uint32_t>(proxy);
+  emulator::deal_back(homes_, static_cast<std::uint32_t>(proxy), alive, random_);
 }
 
 std::size_t Load::another() {
@@ -120,8 +119,8 @@
   };
   Try result;
   const TimePoint deadline = clock_.point(clock_.now() + patience);
-  // With books, an answer is waited for until the verdict is certain; it is worth nothing past the deadline.
-  const TimePoint reads_until = books_ ? deadline + kBookSlack : deadline;
+  // An answer is waited for until the verdict is certain; it is worth nothing past the deadline.
+  const TimePoint reads_until = deadline + kBookSlack;
   const CallId call = Books::call_of(number, tries);
   const bool keyed = s_.classes[a.c].settings.effect != Effect::kRepeatable;
   const std::string id = fmt::format("{:x}-{:x}-{}", s_.seed, number, tries);
@@ -133,7 +132,7 @@
   const std::string target = fmt::format("/{}/x?work_us={}", s_.classes[a.c].name, std::llround(a.work_s * 1e6));
   const std::string request = http::write_request(keyed ? "POST" : "GET", target, "proxy", extra, keyed ? "{}" : "");
   std::string buffer;
-  if (books_) books_->asked(call, a.c, proxy, clock_.now() + patience);
+  books_.asked(call, a.c, proxy, clock_.now() + patience);
   for (bool again = true; again;) {
     again = false;
     std::unique_ptr<net::Stream> stream;
@@ -172,11 +171,11 @@
       // A kept connection that the proxy closed unread: once more on a new one, as the protocol has it.
       again = kept && !begun && (io == Io::kEof || io == Io::kError) && runtime::Clock::now() < deadline;
       buffer.clear();
-      if (!again && books_) books_->unanswered(call);
+      if (!again) books_.unanswered(call);
       continue;
     }
     const http::Message& answer = parser.message();
-    if (books_) books_->answered(call, answer.status == 429 || answer.status == 503);
+    books_.answered(call, answer.status == 429 || answer.status == 503);
     if (runtime::Clock::now() > deadline) {
       result.end = Try::End::kFailed;
     } else if (answer.status == 200) {
--- a/src/lab/load.h
+++ b/src/lab/load.h
@@ -17,9 +17,9 @@
   // Connections that it may hold to all proxies together; a try beyond is unreachable.
   static constexpr std::size_t kMostConnections = 4096;
 
-  // `books`, if any, must outlive it.
+  // `books` must outlive it.
   Load(runtime::Scheduler& scheduler, const LabClock& clock, const emulator::Scenario& scenario,
-       std::vector<sockaddr_in> proxies, Books* books = nullptr);
+       std::vector<sockaddr_in> proxies, Books& books);
   // What the front between the clients and the proxies knows: whether it offers that one to new connections.
   void offer(std::size_t proxy, bool offered);
   // A proxy is back: where the scenario has it so, it is given its even part of the connections again.
@@ -49,7 +49,7 @@
   runtime::Scheduler& scheduler_;
   const LabClock& clock_;
   const emulator::Scenario& s_;
-  Books* books_;
+  Books& books_;
   std::vector<sockaddr_in> proxies_;
   std::vector<bool> offered_;
   std::vector<std::vector<std::unique_ptr<net::Stream>>> idle_;  // by proxy
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -100,20 +100,7 @@
   std::fprintf(stderr, "%.2f s, %.0f events/s, %.1f us/decision, %.0f MiB at the peak\n", out.wall_s,
                out.result["events"].asDouble() / out.wall_s,
                1e6 * out.wall_s / std::max(1.0, out.result["decisions"].asDouble()), peak_mib());
-  if (!o.json.empty()) {
-    std::ofstream file(o.json);
-    Json::Value row;
-    row["cell"]["policy"] = o.policy;
-    row["cell"]["seed"] = static_cast<Json::UInt64>(scenario.seed);
-    row["cell"]["scenario"] = scenario.name;
-    row["cell"]["params"] = Json::Value(Json::objectValue);
-    row["result"] = out.result;
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    builder["precision"] = 9;
-    file << Json::writeString(builder, row) << "\n";
-    if (!file.flush()) throw std::runtime_error(o.json + ": cannot be written");
-  }
+  if (!o.json.empty()) experiments::write_lines(o.json, {experiments::row_of(scenario, o.policy, out.result)});
   if (out.violations > 0) {
     std::fputs(out.violation_text.c_str(), stderr);
     return kRuleBroken;
--- a/src/lab/relay.cpp
+++ b/src/lab/relay.cpp
@@ -40,8 +40,10 @@
     net::Fd taken;
     sockaddr_in from{};
     const Io io = co_await listener_.accept(Clock::now() + kFar, taken, from);
-    if (io == Io::kOk) scheduler_.spawn(join(std::move(taken)));
-    if (io == Io::kOk) continue;
+    if (io == Io::kOk) {
+      scheduler_.spawn(join(std::move(taken)));
+      continue;
+    }
     Wait wait(scheduler_);
     wait.until(Clock::now() + kLookAgain);
     co_await wait;
--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "experiments/experiment.h"
 #include "experiments/plot.h"
 #include "lab/load.h"
 #include "lab/process.h"
@@ -130,7 +131,7 @@
     out.most_connections = most(books_.connections());
     out.most_arrivals = most(books_.arrivals());
     out.most_lists = *std::max_element(books_.lists().begin(), books_.lists().end());
-    for (const emulator::Rule r : {emulator::Rule::kOneAnswer, emulator::Rule::kEffects, emulator::Rule::kDrains, emulator::Rule::kCold})
+    for (const emulator::Rule r : emulator::kRules)
       out.result["rules"][name_of(r)] = static_cast<Json::UInt64>(rules.count(r));
     out.result["excused"] = static_cast<Json::UInt64>(out.excused);
     out.result["most_connections"] = out.most_connections;
@@ -143,7 +144,7 @@
     for (auto& p : proxies_) p->start(), addresses.push_back(p->address());
     for (auto& p : proxies_) co_await until_ready(scheduler_, *p);
     clock_.zero = Clock::now();  // the day begins
-    load_ = std::make_unique<Load>(scheduler_, clock_, s_, std::move(addresses), &books_);
+    load_ = std::make_unique<Load>(scheduler_, clock_, s_, std::move(addresses), books_);
     scheduler_.spawn(fleet_.play_faults([this](emulator::FaultKind kind, const std::vector<std::uint32_t>& struck, bool begins) {
       for (const std::uint32_t i : struck) strike(kind, i, begins);
     }));
@@ -276,12 +277,7 @@
 };
 
 Json::Value as_row(const SocketRun& run, const emulator::Scenario& s, const char* policy) {
-  Json::Value row;
-  row["cell"]["policy"] = policy;
-  row["cell"]["seed"] = static_cast<Json::UInt64>(s.seed);
-  row["cell"]["scenario"] = s.name;
-  row["cell"]["params"] = Json::Value(Json::objectValue);
-  row["result"] = run.result;
+  Json::Value row = experiments::row_of(s, policy, run.result);
   row["result"]["wrong_answers"] = static_cast<Json::UInt64>(run.wrong_answers);
   return row;
 }
--- a/src/lab/standin.cpp
+++ b/src/lab/standin.cpp
@@ -203,12 +203,16 @@
   if (!starts.empty()) rescheduled_.notify();
 }
 
-std::uint32_t StandInNode::book_arrival(CallId call, double work) {
+ServerEntry StandInNode::entry() const {
   ServerEntry entry;
   entry.server = id_;
   entry.zone = zone();
   entry.cell = cell();
-  const std::uint32_t attempt = books_->arrived(call, entry);
+  return entry;
+}
+
+std::uint32_t StandInNode::book_arrival(CallId call, double work) {
+  const std::uint32_t attempt = books_->arrived(call, entry());
   const Time now = clock_.now();
   if (cold_ && !model_.cold(now)) cold_ = false, books_->warm(id_);
   if (cold_ && model_.born()) books_->pressed(call, id_, work, model_.capacity(now), *model_.born());
@@ -374,18 +378,12 @@
 
 std::vector<ServerEntry> Fleet::entries() const {
   std::vector<ServerEntry> all;
-  for (const auto& n : nodes_) {
-    ServerEntry& e = all.emplace_back();
-    e.server = n->id();
-    e.zone = n->zone();
-    e.cell = n->cell();
-  }
+  for (const auto& n : nodes_) all.push_back(n->entry());
   return all;
 }
 
 void Fleet::tell_at(const StandInNode& node, ServerState state, const std::function<Time(std::size_t)>& due) {
-  ServerEntry entry;
-  entry.server = node.id();
+  ServerEntry entry = node.entry();
   entry.state = state;
   for (std::size_t i = 0; i < agents_.size(); ++i) {
     const auto relay = relays_.find({i, node.id()});
--- a/src/lab/standin.h
+++ b/src/lab/standin.h
@@ -45,6 +45,7 @@
   void delay_reports(Duration by) { late_ = by; }
   const std::optional<Time>& born() const { return model_.born(); }
   ServerId id() const { return id_; }
+  ServerEntry entry() const;  // as the list has it, up
   std::uint32_t cell() const { return id_ / spec_.cell_size; }
   std::uint32_t zone() const { return cell() % spec_.zones; }
   std::uint64_t taken() const { return taken_; }  // whole requests read, of all lives
--- a/src/snapshot/state.cpp
+++ b/src/snapshot/state.cpp
@@ -1,16 +1,16 @@
 #include "snapshot/state.h"
 
-#include <json/json.h>
-#include <xxhash.h>
-
 #include <cmath>
-#include <memory>
+#include <utility>
+
+#include "config/sealed.h"
 
 namespace beechhill::snapshot {
 namespace {
 
 constexpr int kFormat = 1;
 constexpr const char* kMagic = "beechhill-snapshot";
+constexpr int kDigits = 6;  // reports are no truer than that
 constexpr double kSmoothing = 0.2;  // as the module smooths reports
 // Of a backend's weight the module keeps about five reports' worth; a snapshot is believed as far as that, and fades by e in
 // a minute: load and neighbours change over minutes, machines over days. 2 to 5 reports were seen to be alike.
@@ -19,8 +19,6 @@
 constexpr std::chrono::milliseconds kOldest{300'000};  // five times that: nothing is left
 constexpr std::chrono::milliseconds kClockStep{2'000};  // clocks are set: so much in the future is now
 
-std::string checksum(std::string_view line) { return std::to_string(XXH64(line.data(), line.size(), 0)); }
-
 bool sound(double value) { return std::isfinite(value) && value >= 0; }
 
 bool read_row(const Json::Value& v, Row& row) {
@@ -45,8 +43,6 @@
 
 std::string encode(const Snapshot& s) {
   Json::Value root;
-  root["is"] = kMagic;
-  root["format"] = kFormat;
   root["name"] = s.name;
   root["fleet"] = s.fleet;
   root["life"] = Json::UInt64(s.life);
@@ -62,22 +58,14 @@
     row["rate"] = r.rate_per_s;
     root["rows"].append(std::move(row));
   }
-  Json::StreamWriterBuilder writer;
-  writer["indentation"] = "";
-  writer["precision"] = 6;
-  const std::string line = Json::writeString(writer, root);
-  return line + "\n" + checksum(line) + "\n";
+  return config::seal(std::move(root), kMagic, kFormat, kDigits);
 }
 
 std::optional<Snapshot> decode(std::string_view text) {
-  const auto end = text.find('\n');
-  if (text.size() > kMostBytes || end == std::string_view::npos) return std::nullopt;
-  const std::string_view line = text.substr(0, end);
-  if (text.substr(end + 1) != checksum(line) + "\n") return std::nullopt;
-  Json::Value root;
-  const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
-  if (!reader->parse(line.data(), line.data() + line.size(), &root, nullptr) || !root.isObject()) return std::nullopt;
-  if (root["is"] != kMagic || root["format"] != kFormat) return std::nullopt;
+  if (text.size() > kMostBytes) return std::nullopt;
+  const auto sealed = config::unseal(text, kMagic, kFormat);
+  if (!sealed) return std::nullopt;
+  const Json::Value& root = *sealed;
   if (!root["name"].isString() || !root["fleet"].isString() || !root["life"].isUInt64()) return std::nullopt;
   if (!root["written"].isInt64() || !root["rows"].isArray() || root["rows"].size() > kMostRows) return std::nullopt;
   Snapshot s;
