--- a/include/beechhill/balancer.h
+++ b/include/beechhill/balancer.h
@@ -139,6 +139,32 @@
   TimerToken token = 0;
 };
 
+// What reports and answers showed of one start of a server, fading. Only the ratios and how much stands behind them mean something.
+struct Evidence {
+  double rates = 0, utils = 0;  // reported
+  double paces = 0;             // times of answers over what their class usually takes
+  double answers = 0;
+
+  void add_pace(double pace, double fading) {
+    paces += pace - fading * paces;
+    answers += 1 - fading * answers;
+  }
+  Evidence& operator+=(const Evidence& e) {
+    rates += e.rates;
+    utils += e.utils;
+    paces += e.paces;
+    answers += e.answers;
+    return *this;
+  }
+};
+
+// What an earlier instance knew of a server in the start that the list names, as far as it is still to be believed. Not checked: whoever
+// reads it from a disk bounds it.
+struct Recalled {
+  ServerId server = 0;
+  Evidence evidence;
+};
+
 // An operator leaves a server out, or lets it serve again, whatever the list says of it: either bars new work. It may
 // come before the list that first names the server. What was let serve again counts as just started.
 struct Barred {
@@ -146,7 +172,7 @@
   bool barred = true;
 };
 
-using Event = std::variant<Discovery, Request, FirstByte, Outcome, ClientGone, ProbeResult, Timer, Barred>;
+using Event = std::variant<Discovery, Request, FirstByte, Outcome, ClientGone, ProbeResult, Timer, Barred, Recalled>;
 
 // ---- Actions
 
@@ -197,6 +223,8 @@
     std::size_t listed = 0, avoided = 0;
   };
   Census census(Time now) const;
+  // What is known of one start of a server: for Recalled, to the next instance. Empty for one that was never named.
+  Evidence known(ServerId server) const;
 
  private:
   class Impl;
--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -90,6 +90,7 @@
     timer(kSweepTimer, sweep - now_);
   }
 
+  Evidence known(ServerId id) const { return id < servers_.size() ? servers_[id].own : Evidence{}; }
   Census census(Time now) const {
     Census c;
     for (const Server& s : servers_)
@@ -655,9 +656,8 @@
     s.turn = uniform(), s.waiting_since = now_, s.budget = {uniform(), now_};
   }
 
-  void on(const ProbeResult& p) {
-    if (p.result == Result::kOk) observe(p.server, p.report);
-  }
+  void on(const ProbeResult& p) { if (p.result == Result::kOk) observe(p.server, p.report); }
+  void on(const Recalled& r) { server(r.server).own += r.evidence; }
 
   void observe(ServerId id, const LoadReport& r) {
     const auto within = [](auto& v, double most) { return v && *v >= 0 && *v <= most; };  // no NaN is
@@ -718,9 +718,8 @@
     : impl_(std::make_unique<Impl>(now, std::move(settings), actions)) {}
 Balancer::~Balancer() = default;
 
-void Balancer::handle(Time now, const Event& event, std::vector<Action>& actions) {
-  impl_->handle(now, event, actions);
-}
+void Balancer::handle(Time now, const Event& e, std::vector<Action>& out) { impl_->handle(now, e, out); }
 Balancer::Census Balancer::census(Time now) const { return impl_->census(now); }
+Evidence Balancer::known(ServerId server) const { return impl_->known(server); }
 
 }  // namespace beechhill
--- a/src/emulator/policies.cpp
+++ b/src/emulator/policies.cpp
@@ -17,6 +17,7 @@
   void handle(Time now, const Event& event, std::vector<Action>& actions) override {
     balancer_.handle(now, event, actions);
   }
+  Evidence known(ServerId server) const override { return balancer_.known(server); }
 
  private:
   Balancer balancer_;
--- a/src/emulator/policy.h
+++ b/src/emulator/policy.h
@@ -15,6 +15,8 @@
   virtual ~Policy() = default;
   // As Balancer::handle: one event at `now`, which never goes back; actions are appended in order.
   virtual void handle(Time now, const Event& event, std::vector<Action>& actions) = 0;
+  // As Balancer::known, of a policy that learns.
+  virtual Evidence known(ServerId) const { return {}; }
 };
 
 // The true state of a tier's nodes, for the oracle alone.
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -110,6 +110,7 @@
   if (f.way != Way::kBoth && f.kind != FaultKind::kPartition) r.fault("way", "for a partition alone");
   f.first = static_cast<std::uint32_t>(r.integer("first", 0, 0, s.proxies - 1));
   if (strikes_proxies(f.kind) && f.proxies == 0 && f.part <= 0) r.fault("kind", "says no proxies: give part or proxies");
+  if (strikes_state(f.kind) && !s.snapshot_every) r.fault("kind", "no state is kept: give proxies.snapshot_every");
   const std::string tenant = r.text("tenant", s.tenants.empty() ? "" : s.tenants.front().name);
   while (f.tenant < s.tenants.size() && s.tenants[f.tenant].name != tenant) ++f.tenant;
   if (f.kind == FaultKind::kTenantBurst && f.tenant == s.tenants.size()) r.fault("tenant", "unknown: " + tenant);
@@ -187,7 +188,7 @@
   s.proxies = static_cast<std::uint32_t>(p.integer("count", 1, 1, kMostProxies));
   s.tries = static_cast<std::uint32_t>(p.integer("tries", s.tries, 1, 100));
   s.proxy_notice = p.span("notice", s.proxy_notice);
-  if (p.has("snapshot_age")) s.snapshot_age = p.span("snapshot_age", Duration{0});
+  if (p.has("snapshot_every")) s.snapshot_every = p.span("snapshot_every", Duration{0}, Duration{100'000});
   s.connect_timeout = p.span("connect_timeout", s.connect_timeout, Duration{1});
   s.may_probe = p.flag("probes", s.may_probe);
   s.may_cancel = p.flag("cancels", s.may_cancel);
@@ -319,7 +320,8 @@
 const std::vector<std::string>& fault_words() {
   static const std::vector<std::string> kWords{
       "silent", "errors", "slow", "late_reports", "stale_list", "crash", "drain", "replace", "proxy_crash", "partition",
-      "burst", "tenant_burst", "proxy_stop", "proxy_end", "discovery_silent", "link_delay", "link_reset"};
+      "burst", "tenant_burst", "proxy_stop", "proxy_end", "discovery_silent", "link_delay", "link_reset",
+      "discovery_rewound", "state_lost", "state_old", "state_torn", "state_flipped", "state_aged", "disk_full", "disk_hangs", "disk_gone"};
   return kWords;
 }
 
@@ -330,9 +332,11 @@
 
 bool strikes_proxies(FaultKind kind) {
   return kind == FaultKind::kProxyCrash || kind == FaultKind::kProxyStop || kind == FaultKind::kProxyEnd ||
-         kind == FaultKind::kDiscoverySilent;
+         kind == FaultKind::kDiscoverySilent || kind == FaultKind::kDiscoveryRewound || strikes_state(kind);
 }
 
+bool strikes_state(FaultKind kind) { return kind >= FaultKind::kStateLost && kind <= FaultKind::kDiskGone; }
+
 bool strikes_links(FaultKind kind) {
   return kind == FaultKind::kPartition || kind == FaultKind::kLinkDelay || kind == FaultKind::kLinkReset;
 }
--- a/src/emulator/scenario.h
+++ b/src/emulator/scenario.h
@@ -85,6 +85,13 @@
   kDiscoverySilent,  // what tells these proxies the list says nothing
   kLinkDelay,        // as kPartition, but all that goes between the two is late
   kLinkReset,        // as kPartition, but connections between the two end as it begins, once
+  kDiscoveryRewound,  // what tells these proxies the list tells it as it was `delay` ago, with that version
+  kStateLost,         // their state folders are empty from then on, as on a new disk
+  kStateOld,          // as it begins their state is copied, as it ends the copy is put back
+  kStateTorn,         // what they keep is cut to half
+  kStateFlipped,      // one bit of what they keep is turned over
+  kStateAged,         // what they keep is older by `delay` than it was
+  kDiskFull, kDiskHangs, kDiskGone,  // what they write does not fit, does not come back, cannot be opened
 };
 enum class Way { kBoth, kThere, kBack };  // of a partition: requests, answers
 
@@ -111,7 +118,7 @@
   Duration cross_zone{0};  // more, one way, between zones
   std::uint32_t proxies = 1, tries = 3;
   Duration proxy_notice{2'000'000};  // until the front knows that a proxy is dead
-  std::optional<Duration> snapshot_age;  // how old what a proxy that starts again finds on its disk is; nothing: it finds none
+  std::optional<Duration> snapshot_every;  // proxies keep snapshots, so often; nothing: they keep none
   Duration connect_timeout{100'000};
   Duration list_lag{1'000'000}, list_spread{200'000}, silent_notice{0};
   bool may_probe = true, may_cancel = true, parallel_tries = true;
@@ -149,6 +156,7 @@
 // So large a part of `count` things: one at the least, all at the most.
 std::size_t part_of(double part, std::size_t count);
 bool strikes_proxies(FaultKind kind);
+bool strikes_state(FaultKind kind);  // of proxies, too
 bool strikes_links(FaultKind kind);  // between half of the proxies, the first, and the nodes that it strikes
 // The first tier's proxies that a fault strikes, by their number: from its first on, round the end.
 std::vector<std::uint32_t> proxies_struck(const Scenario& s, const FaultSpec& fault);
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -92,7 +92,7 @@
     for (const Held& h : p.list)
       if (h.known) last.entries.push_back(h.entry);
     drive_list(index, last);
-    if (s_.snapshot_age) restore(index);
+    restore(index);
     queue_.add(now_ + kListAgain, Kind::kTold, index, p.life, kWholeList);
     if (p.tier == 0 && s_.clients.dealt_back) connections_back(index);
   } else {
@@ -377,7 +377,6 @@
     pass_on(*c, true, false, Duration{0}, useful);
   }
   const std::uint32_t proxy = c->proxy;
-  if (s_.snapshot_age) note(proxies_[proxy], c->attempts[attempt].node, report);
   drive(proxy, Outcome{id, attempt, result, c->over, report});
   tidy(id);
 }
@@ -579,6 +578,7 @@
 
 void World::tell(std::uint32_t tier, const ServerEntry& entry, Duration more) {
   messages_.push_back(Discovery{ListKind::kChanges, {entry}});
+  changes_.push_back({now_ + more, tier, entry});
   for (const std::uint32_t index : by_tier_[tier]) {
     Proxy& p = proxies_[index];
     const Duration lag = s_.list_lag + to_span(to_s(s_.list_spread) * list_random_.uniform()) + stale_ + more;
@@ -608,14 +608,36 @@
     drive_list(index, messages_[message]);
     return;
   }
-  Discovery whole{ListKind::kFull, {}};
+  std::vector<ServerEntry> entries;
   for (const NodeState& n : nodes_[p.tier])
-    if (n.entry.state != ServerState::kRemoved) whole.entries.push_back(n.entry);
-  for (Held& h : p.list)
-    if (h.known && h.entry.state == ServerState::kUp && nodes_[p.tier][h.entry.server].entry.state == ServerState::kRemoved)
+    if (n.entry.state != ServerState::kRemoved) entries.push_back(n.entry);
+  told_whole(index, entries);
+}
+
+void World::told_whole(std::uint32_t index, const std::vector<ServerEntry>& entries) {
+  Proxy& p = proxies_[index];
+  std::vector<bool> named(p.list.size());
+  for (const ServerEntry& e : entries)
+    if (e.server < named.size()) named[e.server] = true;
+  for (std::size_t i = 0; i < named.size(); ++i)
+    if (Held& h = p.list[i]; !named[i] && h.known && h.entry.state == ServerState::kUp)
       h.entry.state = ServerState::kRemoved, h.told = now_;
-  for (const ServerEntry& e : whole.entries) hold(p, e);
-  drive_list(index, whole);
+  for (const ServerEntry& e : entries) hold(p, e);
+  drive_list(index, Discovery{ListKind::kFull, entries});
+}
+
+// What discovery's list was then: every node as it last changed, those of the start as they began.
+std::vector<ServerEntry> World::entries_at(std::uint32_t tier, Time at) const {
+  std::vector<ServerEntry> all;
+  for (std::size_t id = 0; id < nodes_[tier].size(); ++id) {
+    all.push_back(nodes_[tier][id].entry);
+    all.back().born.reset();
+    all.back().state = id < s_.tiers[tier].nodes ? ServerState::kUp : ServerState::kRemoved;
+  }
+  for (const Change& c : changes_)
+    if (c.tier == tier && c.at <= at) all[c.entry.server] = c.entry;
+  std::erase_if(all, [](const ServerEntry& e) { return e.state == ServerState::kRemoved; });
+  return all;
 }
 
 // What the proxy's part of the fleet is, its policy hears of; the rules hold for what the list has said.
@@ -673,6 +695,7 @@
     drop_call(id);
     if (waits && !parent) end_try(op, nullptr, false, false, false, Duration{0}, 0);
   }
+  keep(p);
   p.policy.reset();
 }
 
@@ -753,26 +776,34 @@
   }
 }
 
-void World::note(Proxy& p, ServerId node, const LoadReport& report) {
-  if (p.kept.size() <= node) p.kept.resize(node + 1);
-  Proxy::Kept& kept = p.kept[node];
-  const std::optional<Time> born = node < p.list.size() ? p.list[node].entry.born : std::nullopt;
-  if (std::exchange(kept.born, born) != born) kept.note = {};
-  kept.note.add(now_, report);
+// Its snapshot, as the last of the turns had it.
+void World::keep(Proxy& p) {
+  if (!s_.snapshot_every || !p.policy || p.disk_bad > 0) return;
+  p.disk.kept.clear();
+  p.disk.at = now_ - now_ % *s_.snapshot_every;
+  for (ServerId node = 0; node < p.list.size(); ++node) p.disk.kept.push_back({p.policy->known(node), p.list[node].entry.born});
 }
 
-// Its last snapshot, taken for as old as the scenario has it.
 void World::restore(std::uint32_t index) {
-  const std::vector<Proxy::Kept> kept = proxies_[index].kept;
-  for (ServerId node = 0; node < kept.size(); ++node) {
-    const snapshot::Note& note = kept[node].note;
-    if (!note.at || node >= proxies_[index].list.size()) continue;
-    const bool started = proxies_[index].list[node].entry.born != kept[node].born;
-    for (std::uint32_t i = snapshot::reports_for(*s_.snapshot_age + now_ - *note.at, started); i > 0; --i)
-      drive(index, ProbeResult{node, Result::kOk, LoadReport{note.utilisation, note.rate_per_s}});
+  const Proxy& p = proxies_[index];
+  const Proxy::Disk disk = p.disk;
+  for (ServerId node = 0; node < disk.kept.size(); ++node) {
+    const bool started = p.list[node].entry.born != disk.kept[node].born;
+    const auto evidence = snapshot::believed(disk.kept[node].evidence, now_ - disk.at, started);
+    if (evidence) drive(index, Recalled{node, *evidence});
   }
 }
 
+void World::strike_state(const FaultSpec& f, Proxy& p, bool begins) {
+  const bool disk = f.kind == FaultKind::kDiskFull || f.kind == FaultKind::kDiskHangs || f.kind == FaultKind::kDiskGone;
+  if (begins) keep(p);
+  if (disk) p.disk_bad += begins ? 1 : -1;
+  if (f.kind == FaultKind::kStateOld) begins ? p.older = p.disk : p.disk = p.older;
+  if (f.kind == FaultKind::kStateAged && begins) p.disk.at -= f.delay;
+  // Damaged is as good as lost: it is set aside.
+  if (!disk && begins && f.kind != FaultKind::kStateOld && f.kind != FaultKind::kStateAged) p.disk = {};
+}
+
 void World::connections_back(std::uint32_t index) {
   std::size_t alive = 0;
   for (const std::uint32_t p : by_tier_[0]) alive += proxies_[p].alive && !proxies_[p].leaving;
@@ -831,6 +862,25 @@
     case FaultKind::kDiscoverySilent:
       for (const std::uint32_t i : proxies_struck(s_, f)) ++proxies_[by_tier_[0][i]].unheard;
       break;
+    case FaultKind::kDiscoveryRewound: {
+      const std::vector<ServerEntry> then = entries_at(0, now_ - s_.list_lag - f.delay);
+      for (const std::uint32_t i : proxies_struck(s_, f)) {
+        Proxy& p = proxies_[by_tier_[0][i]];
+        if (p.alive && !p.stopped && p.unheard == 0) told_whole(by_tier_[0][i], then);
+        ++p.unheard;
+      }
+      break;
+    }
+    case FaultKind::kStateLost:
+    case FaultKind::kStateOld:
+    case FaultKind::kStateTorn:
+    case FaultKind::kStateFlipped:
+    case FaultKind::kStateAged:
+    case FaultKind::kDiskFull:
+    case FaultKind::kDiskHangs:
+    case FaultKind::kDiskGone:
+      for (const std::uint32_t i : proxies_struck(s_, f)) strike_state(f, proxies_[by_tier_[0][i]], true);
+      break;
     case FaultKind::kPartition:
     case FaultKind::kLinkDelay:
     case FaultKind::kLinkReset: {
@@ -891,7 +941,18 @@
         start_proxy(by_tier_[0][i]);
       }
       break;
+    case FaultKind::kStateLost:
+    case FaultKind::kStateOld:
+    case FaultKind::kStateTorn:
+    case FaultKind::kStateFlipped:
+    case FaultKind::kStateAged:
+    case FaultKind::kDiskFull:
+    case FaultKind::kDiskHangs:
+    case FaultKind::kDiskGone:
+      for (const std::uint32_t i : proxies_struck(s_, f)) strike_state(f, proxies_[by_tier_[0][i]], false);
+      break;
     case FaultKind::kDiscoverySilent:
+    case FaultKind::kDiscoveryRewound:
       for (const std::uint32_t i : proxies_struck(s_, f))
         if (Proxy& p = proxies_[by_tier_[0][i]]; --p.unheard == 0 && p.alive)
           queue_.add(now_, Kind::kTold, p.index, p.life, kWholeList);
--- a/src/emulator/world.h
+++ b/src/emulator/world.h
@@ -128,10 +128,15 @@
     std::unordered_map<ServerId, Connections> connections;  // looked up only
     std::vector<std::uint64_t> calls;
     struct Kept {  // on its disk
-      snapshot::Note note;
+      Evidence evidence;
       std::optional<Time> born;
     };
-    std::vector<Kept> kept;  // by node; only where the scenario keeps snapshots
+    struct Disk {
+      std::vector<Kept> kept;  // by node
+      Time at{0};
+    };
+    Disk disk, older;            // only where the scenario keeps snapshots
+    std::uint32_t disk_bad = 0;  // faults that keep it from being written
   };
   struct Cut {  // a fault of links in force
     std::size_t fault = 0;
@@ -193,6 +198,8 @@
   // Discovery and faults
   void tell(std::uint32_t tier, const ServerEntry& entry, Duration more = Duration{0});
   void told(std::uint32_t proxy, std::uint64_t message);
+  void told_whole(std::uint32_t proxy, const std::vector<ServerEntry>& entries);
+  std::vector<ServerEntry> entries_at(std::uint32_t tier, Time at) const;
   void hold(Proxy& p, const ServerEntry& e);
   void drive_list(std::uint32_t proxy, const Discovery& list);
   void begin_fault(std::size_t fault);
@@ -206,8 +213,9 @@
   void wake(std::uint32_t proxy, bool whole_list);
   bool held_back(const Happening& h);
   void connections_back(std::uint32_t proxy);
-  void note(Proxy& proxy, ServerId node, const LoadReport& report);
+  void keep(Proxy& proxy);
   void restore(std::uint32_t proxy);
+  void strike_state(const FaultSpec& fault, Proxy& proxy, bool begins);
   void close_second(std::uint64_t window);
   void happen(const Happening& h);
   void sum_up();
@@ -228,6 +236,12 @@
   std::deque<Proxy> proxies_;
   std::vector<std::vector<std::uint32_t>> by_tier_;  // proxies
   std::vector<Discovery> messages_;
+  struct Change {
+    Time at{0};
+    std::uint32_t tier = 0;
+    ServerEntry entry;
+  };
+  std::vector<Change> changes_;  // of the nodes, as discovery saw them
   Slab<Op> ops_;
   Slab<Call> calls_;
   Slab<Job> jobs_;
--- a/src/lab/fleet/plan.cpp
+++ b/src/lab/fleet/plan.cpp
@@ -18,7 +18,7 @@
 constexpr std::uint64_t kPlanStream = 1ULL << 39;
 
 bool of_processes(const FaultSpec& f) {
-  return emulator::strikes_proxies(f.kind) && f.kind != FaultKind::kDiscoverySilent;
+  return emulator::strikes_proxies(f.kind) && f.kind != FaultKind::kDiscoverySilent && f.kind != FaultKind::kDiscoveryRewound;
 }
 
 std::string span(Duration d) { return fmt::format("\"{}us\"", d.count()); }
@@ -31,12 +31,15 @@
                                          FaultKind::kSilent,     FaultKind::kErrors,          FaultKind::kSlow,
                                          FaultKind::kCrash,      FaultKind::kDrain,           FaultKind::kPartition,
                                          FaultKind::kStaleList,  FaultKind::kLateReports,     FaultKind::kLinkDelay,
-                                         FaultKind::kLinkReset};
+                                         FaultKind::kLinkReset,  FaultKind::kDiscoveryRewound};
+  static constexpr FaultKind kOfState[] = {FaultKind::kStateLost, FaultKind::kStateOld,  FaultKind::kStateTorn, FaultKind::kStateFlipped,
+                                           FaultKind::kStateAged, FaultKind::kDiskFull,  FaultKind::kDiskHangs, FaultKind::kDiskGone};
   emulator::Stream dice(seed, emulator::Actor::kFaults, kPlanStream);
   const double whole = std::chrono::duration<double>(s.length).count();
   std::vector<FaultSpec> faults(2 + dice.below(5));
   for (FaultSpec& f : faults) {
-    f.kind = kKinds[dice.below(std::size(kKinds))];
+    const std::size_t drawn = dice.below(std::size(kKinds) + (s.snapshot_every ? std::size(kOfState) : 0));
+    f.kind = drawn < std::size(kKinds) ? kKinds[drawn] : kOfState[drawn - std::size(kKinds)];
     const double at = whole * dice.uniform({0.1, 0.5}), last = whole * 2 / 3;
     f.at = emulator::to_span(at);
     f.length = emulator::to_span(std::min(last - at, whole * dice.uniform({0.02, 0.3})));
@@ -96,7 +99,7 @@
 Span processes_struck(const Scenario& s) {
   Span span;
   for (const FaultSpec& f : s.faults) {
-    if (!of_processes(f)) continue;
+    if (!of_processes(f) || emulator::strikes_state(f.kind)) continue;
     span.begun = span.back == Time{0} ? f.at : std::min(span.begun, f.at);
     span.back = std::max(span.back, f.at + f.length);
   }
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -34,12 +34,15 @@
 }
 
 ProxyProcess::ProxyProcess(const experiments::TempFolder& folder, const std::string& program, Json::Value config,
-                           sockaddr_in address)
+                           sockaddr_in address, const std::string& operator_file)
     : program_(program), address_(address) {
   const std::string name = config["name"].asString();
   config_ = folder.file(name + ".json");
   log_ = folder.file(name + ".log");
   std::ofstream(config_) << config;
+  if (operator_file.empty()) return;
+  operator_ = folder.file(name + ".toml");
+  std::ofstream(operator_) << operator_file;
 }
 
 void ProxyProcess::start() {
@@ -52,6 +55,7 @@
   ::dup2(log, STDERR_FILENO);
   for (const char* name : {"GW_NAME", "GW_LISTEN", "GW_DISCOVERY"}) ::unsetenv(name);
   ::setenv("GW_CONFIG", config_.c_str(), 1);
+  operator_.empty() ? ::unsetenv("BEECHHILL_OPERATOR") : ::setenv("BEECHHILL_OPERATOR", operator_.c_str(), 1);
   ::execl(program_.c_str(), program_.c_str(), nullptr);
   ::_exit(127);
 }
@@ -103,6 +107,23 @@
   return last;
 }
 
+std::vector<std::string> ProxyProcess::lines(const std::string& event) const {
+  std::ifstream in(log_);
+  std::vector<std::string> found;
+  for (std::string line; std::getline(in, line);)
+    if (line.starts_with(event + " ") || line == event) found.push_back(line + " ");
+  return found;
+}
+
+std::size_t ProxyProcess::said(const std::string& event) const { return lines(event).size(); }
+
+std::uint64_t ProxyProcess::summed(const std::string& event, const std::string& key) const {
+  std::uint64_t sum = 0;
+  for (const std::string& line : lines(event))
+    if (const std::size_t at = line.find(" " + key + "="); at != std::string::npos) sum += std::stoull(line.substr(at + key.size() + 2));
+  return sum;
+}
+
 void ProxyProcess::signal(int number) const {
   if (pid_ > 0) ::kill(pid_, number);
 }
--- a/src/lab/process.h
+++ b/src/lab/process.h
@@ -6,6 +6,7 @@
 #include <sys/resource.h>
 
 #include <string>
+#include <vector>
 
 #include "experiments/temp_folder.h"
 #include "net/socket.h"
@@ -28,7 +29,9 @@
 class ProxyProcess {
  public:
   // Its configuration and log stand in `folder`, which must outlive it.
-  ProxyProcess(const experiments::TempFolder& folder, const std::string& program, Json::Value config, sockaddr_in address);
+  // `operator_file`: the text of its operator file; empty: it has none.
+  ProxyProcess(const experiments::TempFolder& folder, const std::string& program, Json::Value config, sockaddr_in address,
+               const std::string& operator_file = {});
   ~ProxyProcess() { kill(); }
   ProxyProcess(const ProxyProcess&) = delete;
   ProxyProcess& operator=(const ProxyProcess&) = delete;
@@ -46,13 +49,16 @@
   long rss_kib() const;
   const sockaddr_in& address() const { return address_; }
   std::string last_words() const;  // the last line of its log
+  std::size_t said(const std::string& event) const;  // lines of its log, over all lives, that tell of it
+  std::uint64_t summed(const std::string& event, const std::string& key) const;  // of these lines, what stands as key=
 
  private:
+  std::vector<std::string> lines(const std::string& event) const;
   void signal(int number) const;
   void reap();
   void book(const rusage& used);
 
-  std::string program_, config_, log_;
+  std::string program_, config_, log_, operator_;
   sockaddr_in address_{};
   pid_t pid_ = 0;
   double cpu_s_ = 0;
--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -14,6 +14,7 @@
 #include "experiments/plot.h"
 #include "lab/load.h"
 #include "lab/process.h"
+#include "lab/state_folder.h"
 
 namespace beechhill::lab {
 
@@ -83,7 +84,7 @@
     for (std::uint32_t i = 0; i < s_.proxies; ++i) {
       const sockaddr_in address = ports_.emplace_back().address();
       Json::Value config = proxy_config(s_, fmt::format("proxy-{}", i), net::to_string(address), fleet_, s_.seed * 1000 + i, i);
-      proxies_.push_back(std::make_unique<ProxyProcess>(folder_, program, std::move(config), address));
+      proxies_.push_back(std::make_unique<ProxyProcess>(folder_, program, std::move(config), address, operator_file(i)));
     }
   }
 
@@ -100,6 +101,9 @@
     out.asked = load_->asked();
     out.last_back = last_back_;
     judge(out);
+    for (const char* event : {"snapshot_found", "snapshot_set_aside", "snapshot_lost", "recalled"})
+      for (const auto& p : proxies_) out.said[event] += p->said(event);
+    for (const auto& p : proxies_) out.recalled += p->summed("recalled", "backends"), out.voided += p->summed("recalled", "void");
     std::uint64_t taken = 0, connections = 0;
     for (const auto& n : fleet_.nodes()) taken += n->taken(), connections += n->connections();
     out.result["attempts"] = static_cast<Json::UInt64>(taken);
@@ -110,6 +114,14 @@
   }
 
  private:
+  // Of the operator file's parts, snapshots are on where the scenario has them.
+  std::string operator_file(std::uint32_t i) {
+    if (!s_.snapshot_every) return {};
+    const std::string name = fmt::format("proxy-{}", i);
+    states_.push_back(std::make_unique<StateFolder>(folder_.file(name + ".state"), fmt::format("beechhill-{}.snapshot.new", name), s_.seed + i));
+    return fmt::format("[snapshot]\nfolder = \"{}\"\nevery = \"{}ms\"\n", states_.back()->path(), *s_.snapshot_every / 1ms);
+  }
+
   struct Struck {  // by the plan, just now
     std::uint32_t down = 0, stopped = 0;
     std::uint64_t life = 0;
@@ -145,15 +157,17 @@
     for (auto& p : proxies_) co_await until_ready(scheduler_, *p);
     clock_.zero = Clock::now();  // the day begins
     load_ = std::make_unique<Load>(scheduler_, clock_, s_, std::move(addresses), books_);
-    scheduler_.spawn(fleet_.play_faults([this](emulator::FaultKind kind, const std::vector<std::uint32_t>& struck, bool begins) {
-      for (const std::uint32_t i : struck) strike(kind, i, begins);
+    scheduler_.spawn(fleet_.play_faults([this](const emulator::FaultSpec& fault, const std::vector<std::uint32_t>& struck, bool begins) {
+      for (const std::uint32_t i : struck) strike(fault, i, begins);
     }));
     if (progress_) scheduler_.spawn(tell());
     co_await load_->run();
   }
 
   // The faults of one kind may overlap at a proxy: the last to end brings it back.
-  void strike(emulator::FaultKind kind, std::uint32_t i, bool begins) {
+  void strike(const emulator::FaultSpec& f, std::uint32_t i, bool begins) {
+    const emulator::FaultKind kind = f.kind;
+    if (emulator::strikes_state(kind)) return states_[i]->strike(kind, begins, std::chrono::duration_cast<std::chrono::milliseconds>(f.delay));
     Struck& struck = struck_[i];
     ProxyProcess& p = *proxies_[i];
     if (kind == emulator::FaultKind::kProxyStop) {
@@ -225,6 +239,7 @@
   Books books_;
   Fleet fleet_;
   std::vector<ReservedPort> ports_;  // of the proxies, also while they are away
+  std::vector<std::unique_ptr<StateFolder>> states_;  // by proxy; none where none is kept
   std::vector<std::unique_ptr<ProxyProcess>> proxies_;
   std::vector<Struck> struck_;
   std::unique_ptr<Load> load_;
--- a/src/lab/sockets.h
+++ b/src/lab/sockets.h
@@ -5,6 +5,7 @@
 
 #include <CLI/CLI.hpp>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -26,6 +27,8 @@
   std::string violation_text;    // the first few, with their traces
   // The most in one second at one node from the warm-up's end on, and the most that one proxy asked of discovery.
   std::uint32_t most_connections = 0, most_arrivals = 0, most_lists = 0;
+  std::map<std::string, std::size_t> said;  // lines about snapshots in the proxies' logs, by event: whether a fault struck, no verdict
+  std::uint64_t recalled = 0, voided = 0;  // backends of which snapshots were believed, and not
   Time last_back{0};             // when the last proxy was ready again; 0: none was away
 };
 // Plays the scenario, which must outlive the result, with stand-in nodes and `scenario.proxies` real proxies, `program` each, and stops all that it
--- a/src/lab/standin.cpp
+++ b/src/lab/standin.cpp
@@ -241,8 +241,18 @@
   for (runtime::Notifier* w : watchers_) w->notify();
 }
 
+void StandInDiscovery::rewind(std::optional<Time> to) {
+  horizon_ = to.value_or(Time::max());
+  told_ = 0;
+  hosts_.clear(), entries_.clear();
+  settle();
+  ++rewinds_;
+  for (runtime::Notifier* w : watchers_) w->notify();
+}
+
 void StandInDiscovery::settle() {
-  for (; told_ < changes_.size() && changes_[told_].due <= clock_.now(); ++told_) {
+  const Time until = std::min(clock_.now(), horizon_);
+  for (; told_ < changes_.size() && changes_[told_].due <= until; ++told_) {
     const Json::Value& row = changes_[told_].row;
     if (row["health"].asString() == "terminated") {
       hosts_.erase(row["host"].asString());
@@ -313,9 +323,11 @@
   std::string out = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   std::string line = compact(whole_list()) + "\n";
   std::size_t version = told_, booked = 0;
+  const std::uint64_t rewinds = rewinds_;
   bool listed = false;
   for (;;) {
     co_await while_silent();
+    if (rewinds_ != rewinds) co_return;
     out += fmt::format("{:x}\r\n{}\r\n", line.size(), line);
     const Io io = co_await stream->write(out, Clock::now() + kFar);
     if (io != Io::kOk) co_return;
@@ -332,12 +344,14 @@
     const TimePoint quiet = Clock::now() + kWatchLine;
     while (Clock::now() < quiet) {
       settle();
-      if (told_ > version) break;
+      if (told_ > version || rewinds_ != rewinds) break;
       Wait wait(scheduler_);
-      const TimePoint due = told_ < changes_.size() ? std::min(quiet, clock_.point(changes_[told_].due)) : quiet;
+      const bool comes = told_ < changes_.size() && changes_[told_].due <= horizon_;
+      const TimePoint due = comes ? std::min(quiet, clock_.point(changes_[told_].due)) : quiet;
       wait.until(due).notified(watcher.changed);
       co_await wait;
     }
+    if (rewinds_ != rewinds) co_return;
     if (told_ == version) continue;
     Json::Value list;
     list["seq"] = static_cast<Json::UInt64>(told_);
@@ -475,8 +489,10 @@
   const std::vector<std::uint32_t> struck = emulator::proxies_struck(s_, f);
   if (f.kind == FaultKind::kDiscoverySilent) {
     for (const std::uint32_t i : struck) agents_[i]->silence(begins);
+  } else if (f.kind == FaultKind::kDiscoveryRewound) {
+    for (const std::uint32_t i : struck) agents_[i]->rewind(begins ? std::optional(clock_.now() - f.delay) : std::nullopt);
   } else if (!struck.empty() && proxies_) {
-    proxies_(f.kind, struck, begins);
+    proxies_(f, struck, begins);
   }
 }
 
--- a/src/lab/standin.h
+++ b/src/lab/standin.h
@@ -99,6 +99,8 @@
   void tell(Json::Value row, const ServerEntry& entry, Time at);
   Json::Value whole_list() const;  // as told by now
   void silence(bool on) { silent_ += on ? 1 : -1; }  // connections stand, and nothing is said on them
+  // From now on it tells the list as it was then, with that version, and ends the watches that stand; nothing: as it is.
+  void rewind(std::optional<Time> to);
 
  private:
   runtime::Task<> accept();
@@ -123,6 +125,8 @@
   std::size_t proxy_;
   Books* books_;
   int silent_ = 0;  // faults that keep it so
+  Time horizon_ = Time::max();  // what is due later is not told
+  std::uint64_t rewinds_ = 0;
 };
 
 // Nodes, their discovery (one agent for each proxy, each with its own lateness) and the faults that the scenario has for them.
@@ -132,7 +136,7 @@
   // kinds than silent, errors, slow, late_reports, stale_list, crash, drain, burst, tenant_burst and those of links and proxies.
   Fleet(runtime::Scheduler& scheduler, const LabClock& clock, const emulator::Scenario& scenario, Books* books = nullptr);
   // Plays the faults by the clock. `proxies` is told when a fault of the processes themselves begins (true) and ends.
-  using StrikeProxies = std::function<void(emulator::FaultKind kind, const std::vector<std::uint32_t>& struck, bool begins)>;
+  using StrikeProxies = std::function<void(const emulator::FaultSpec& fault, const std::vector<std::uint32_t>& struck, bool begins)>;
   runtime::Task<> play_faults(StrikeProxies proxies);
   StandInDiscovery& agent(std::size_t proxy) { return *agents_[proxy]; }
   const std::vector<std::unique_ptr<StandInNode>>& nodes() const { return nodes_; }
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -152,7 +152,6 @@
   } else if (rest) {
     rest->leave();
   }
-  if (done.attempt < entry.servers.size()) backends_[entry.servers[done.attempt]].note.add(now(), done.report);
   const Outcome outcome{done.operation, done.attempt, done.result, entry.over, done.report, spent};
   drive(outcome);
   tidy(done.operation);
@@ -255,8 +254,12 @@
   for (const ServerEntry& e : discovery.entries) mentioned.push_back(e.server);
   drive(part_of(std::move(discovery), hashes));
   if (!claims_.empty())
-    for (const ServerId id : mentioned) believe(id);
-  if (kind == ListKind::kFull) claims_.clear();  // who is not in it is not there
+    for (const ServerId id : mentioned) recall(id);
+  if (kind == ListKind::kFull && recalled_ + void_ + claims_.size() > 0) {
+    void_ += claims_.size();  // who is not in it is not there
+    claims_.clear();
+    log::info("recalled", {{"backends", std::exchange(recalled_, 0)}, {"void", std::exchange(void_, 0)}});
+  }
   if (kind == ListKind::kChanges) {
     for (const ServerId id : mentioned) let_go(id);
   } else {
@@ -313,36 +316,32 @@
 void DecisionActor::tell(ServerId server, PeerStatus status) {
   Backend& backend = backends_[server];
   backend.state = status.state;
-  if (status.state != ServerState::kRemoved) {
-    if (backend.born != status.born) backend.note = {};
-    backend.address = status.address, backend.born = status.born;
-  }
+  if (status.state != ServerState::kRemoved) backend.address = status.address, backend.born = status.born;
   // To its peer a backend that is left out is one that drains: what is not begun stays unsent, idle connections go.
   if (backend.barred && status.state == ServerState::kUp) status.state = ServerState::kDraining;
   if (!backends_[server].peer->post(status)) log_lost("peer_status");
 }
 
-// What an earlier process had learned of it comes as the reports that it stands for.
-void DecisionActor::believe(ServerId server) {
+// What an earlier process had learned of it.
+void DecisionActor::recall(ServerId server) {
   const auto it = claims_.find(servers_.name(server));
   if (it == claims_.end()) return;
   const snapshot::Row row = it->second;
   claims_.erase(it);
   const Duration age = now() + unix_offset_ - std::chrono::duration_cast<Time>(row.at);
-  const LoadReport report{row.utilisation, row.rate_per_s};
-  const std::uint32_t reports = snapshot::reports_for(age, row.born != backends_[server].born);
-  for (std::uint32_t i = reports; i > 0; --i) drive(ProbeResult{server, Result::kOk, report});
-  // A process that dies before it has learned itself hands on what it was given.
-  if (reports > 0) backends_[server].note = {row.utilisation, row.rate_per_s, now() - age};
+  const auto evidence = snapshot::believed(row.evidence, age, row.born != backends_[server].born);
+  evidence ? ++recalled_ : ++void_;
+  if (evidence) drive(Recalled{server, *evidence});
 }
 
 std::vector<snapshot::Row> DecisionActor::learned() const {
-  const auto unix_ms = [this](Time t) { return std::chrono::duration_cast<std::chrono::milliseconds>(t + unix_offset_); };
+  const auto at = std::chrono::duration_cast<std::chrono::milliseconds>(now() + unix_offset_);
   std::vector<snapshot::Row> rows;
   for (const auto& [host, row] : claims_) rows.push_back(row);
   for (ServerId id = 0; id < backends_.size() && rows.size() < snapshot::kMostRows; ++id) {
     const Backend& b = backends_[id];
-    if (b.peer && b.note.at) rows.push_back({servers_.name(id), b.born, unix_ms(*b.note.at), b.note.utilisation, b.note.rate_per_s});
+    const Evidence evidence = balancer_.known(id);
+    if (b.peer && evidence.utils + evidence.answers > 0) rows.push_back({servers_.name(id), b.born, at, evidence});
   }
   return rows;
 }
@@ -352,7 +351,6 @@
   Backend& backend = backends_[server];
   if (!backend.peer || backend.state != ServerState::kRemoved || backend.used > 0) return;
   backend.peer.reset();
-  backend.note = {};
   if (backend.barred) bar(server, false);  // its number may be another's next; barred_ keeps the ban
   const std::string& host = servers_.name(server);
   if (gone_.insert(host).second) gone_order_.push_back(host);
@@ -369,7 +367,6 @@
 }
 
 void DecisionActor::on(ProbeDone& done) {
-  backends_[done.server].note.add(now(), done.report);
   drive(ProbeResult{done.server, done.result, done.report});
   --backends_[done.server].used;
   let_go(done.server);
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -36,6 +36,7 @@
   // Whether what is held may decide where something new goes: not within a gap, nor until discovery was heard after it.
   bool current() const { return course_.current(now()); }
   std::vector<snapshot::Row> learned() const;  // so far, with Unix times
+  const std::set<std::string>& barred() const { return barred_; }
   runtime::Task<> run();
 
  private:
@@ -54,7 +55,6 @@
     sockaddr_in address{};
     std::chrono::milliseconds born{0};
     std::size_t used = 0;                       // operations' attempts and probes that refer to it
-    snapshot::Note note;                        // of this start
   };
 
   bool returning();
@@ -80,7 +80,7 @@
   void tell(ServerId server, PeerStatus status);
   Discovery part_of(Discovery list, const std::vector<std::uint64_t>& hashes);
   void let_go(ServerId server);
-  void believe(ServerId server);
+  void recall(ServerId server);
 
   void act(const Send& a);
   void act(const Cancel& a);
@@ -99,6 +99,7 @@
   std::uint32_t most_tries_;
   Time unix_offset_;  // Unix time less the module's clock
   std::unordered_map<std::string, snapshot::Row> claims_;  // of an earlier process, by host, until a list names it
+  std::uint64_t recalled_ = 0, void_ = 0;                  // of them: believed, and not
   bool heard_ = false;
   recovery::Course course_;
   recovery::Stage said_ = recovery::Stage::kEmpty;  // in the log
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -94,7 +94,7 @@
     runtime::Wait wait(scheduler);
     wait.until(runtime::Clock::now() + every);
     co_await wait;
-    keeper.keep(decisions.learned(), unix_now());
+    keeper.keep(decisions.learned(), decisions.barred(), unix_now());
   }
 }
 
@@ -168,10 +168,11 @@
     return std::make_unique<PeerActor>(scheduler, inbox, pool, config.named.settings, server, address);
   };
   PoolConfigActor pool_config(scheduler, config);
-  const handover::SharedState before = folder ? folder->state() : handover::SharedState{};
+  handover::SharedState before = folder ? folder->state() : handover::SharedState{};
   const std::unique_ptr<snapshot::Keeper> keeper = open_keeper(config, settings.snapshot);
   std::optional<snapshot::Snapshot> found = keeper ? keeper->found(unix_now()) : std::nullopt;
-  if (found) log::info("snapshot_found", {{"rows", static_cast<std::uint64_t>(found->rows.size())}});
+  if (found) log::info("snapshot_found", {{"rows", static_cast<std::uint64_t>(found->rows.size())}, {"barred", static_cast<std::uint64_t>(found->barred.size())}});
+  if (found && !folder) before.barred = found->barred;  // with a folder, what stands there is newer
   DecisionActor decisions(scheduler, config, make_peer, pool_config.inbox(), settings.subset, before.barred,
                           found ? std::move(found->rows) : std::vector<snapshot::Row>{});
   pool.current = [&decisions] { return decisions.current(); };
@@ -211,7 +212,7 @@
                         {"admin", std::string_view(admin)}});
   if (keeper) scheduler.spawn(keep_snapshots(scheduler, *keeper, decisions, settings.snapshot.every));
   scheduler.run();
-  if (keeper) keeper->keep(decisions.learned(), unix_now());
+  if (keeper) keeper->keep(decisions.learned(), decisions.barred(), unix_now());
 }
 
 }  // namespace beechhill::service
--- a/src/snapshot/keeper.cpp
+++ b/src/snapshot/keeper.cpp
@@ -127,12 +127,14 @@
   if (!reason) return snapshot;
   std::rename(path_.c_str(), (path_ + ".aside").c_str());
   log::warning("snapshot_set_aside", {{"reason", std::string_view(reason)}});
-  return std::nullopt;
+  if (!snapshot || snapshot->name != name_) return std::nullopt;
+  snapshot->rows.clear();
+  return snapshot;
 }
 
-void Keeper::keep(std::vector<Row> rows, std::chrono::milliseconds now) {
+void Keeper::keep(std::vector<Row> rows, std::set<std::string> barred, std::chrono::milliseconds now) {
   const std::lock_guard lock(writer_->mutex);
-  writer_->waiting = Snapshot{name_, fleet_, life_, now, std::move(rows)};
+  writer_->waiting = Snapshot{name_, fleet_, life_, now, std::move(rows), std::move(barred)};
   writer_->changed.notify_all();
 }
 
--- a/src/snapshot/keeper.h
+++ b/src/snapshot/keeper.h
@@ -25,10 +25,11 @@
   Keeper(const Keeper&) = delete;
   Keeper& operator=(const Keeper&) = delete;
 
-  // What the last process left, if it may be used now (Unix time). Else it is set aside, with a line in the log.
+  // What the last process left. What may not be used now (Unix time) is set aside, with a line in the log; of one that is whole and
+  // of this name the bans are left even then.
   std::optional<Snapshot> found(std::chrono::milliseconds now);
   // Hands on to the thread. What still waits there is replaced.
-  void keep(std::vector<Row> rows, std::chrono::milliseconds now);
+  void keep(std::vector<Row> rows, std::set<std::string> barred, std::chrono::milliseconds now);
 
  private:
   struct Writer;
--- a/src/snapshot/state.cpp
+++ b/src/snapshot/state.cpp
@@ -8,14 +8,17 @@
 namespace beechhill::snapshot {
 namespace {
 
-constexpr int kFormat = 1;
+constexpr int kFormat = 2;
 constexpr const char* kMagic = "beechhill-snapshot";
 constexpr int kDigits = 6;  // reports are no truer than that
-constexpr double kSmoothing = 0.2;  // as the module smooths reports
-// Of a backend's weight the module keeps about five reports' worth; a snapshot is believed as far as that, and fades by e in
-// a minute: load and neighbours change over minutes, machines over days. 2 to 5 reports were seen to be alike.
-constexpr double kReports = 5;
+// A snapshot fades by e in a minute: load and neighbours change over minutes, machines over days. Nothing under a hundredth of a report
+// or an answer is worth telling.
 constexpr Duration kFades{60'000'000};
+constexpr double kLeast = 0.01;
+// More than the module's own memory of either ever holds, five reports and seven answers at its smoothings, is no snapshot of it; nor is
+// a pace beyond the most that it counts.
+constexpr double kMostReports = 10, kMostAnswers = 10, kMostPace = 10;
+constexpr double kMostUtilisation = 8, kMostRate = 1e5;  // as the module takes them from a report
 constexpr std::chrono::milliseconds kOldest{300'000};  // five times that: nothing is left
 constexpr std::chrono::milliseconds kClockStep{2'000};  // clocks are set: so much in the future is now
 
@@ -23,24 +26,17 @@
 
 bool read_row(const Json::Value& v, Row& row) {
   if (!v.isObject() || !v["host"].isString() || !v["born"].isInt64() || !v["at"].isInt64()) return false;
-  if (!v["util"].isNumeric() || !v["rate"].isNumeric()) return false;
+  for (const char* key : {"util", "rate", "paces", "answers"})
+    if (!v[key].isNumeric() || !sound(v[key].asDouble())) return false;
   row.host = v["host"].asString();
   row.born = std::chrono::milliseconds(v["born"].asInt64());
   row.at = std::chrono::milliseconds(v["at"].asInt64());
-  row.utilisation = v["util"].asDouble(), row.rate_per_s = v["rate"].asDouble();
-  return !row.host.empty() && sound(row.utilisation) && sound(row.rate_per_s);
+  row.evidence = {v["rate"].asDouble(), v["util"].asDouble(), v["paces"].asDouble(), v["answers"].asDouble()};
+  return !row.host.empty();
 }
 
 }  // namespace
 
-void Note::add(Time now, const LoadReport& report) {
-  if (!report.utilisation || !report.rate_per_s || !sound(*report.utilisation) || !sound(*report.rate_per_s)) return;
-  const double part = at ? kSmoothing : 1;
-  utilisation += part * (*report.utilisation - utilisation);
-  rate_per_s += part * (*report.rate_per_s - rate_per_s);
-  at = now;
-}
-
 std::string encode(const Snapshot& s) {
   Json::Value root;
   root["name"] = s.name;
@@ -54,10 +50,14 @@
     row["host"] = r.host;
     row["born"] = Json::Int64(r.born.count());
     row["at"] = Json::Int64(r.at.count());
-    row["util"] = r.utilisation;
-    row["rate"] = r.rate_per_s;
+    row["rate"] = r.evidence.rates;
+    row["util"] = r.evidence.utils;
+    row["paces"] = r.evidence.paces;
+    row["answers"] = r.evidence.answers;
     root["rows"].append(std::move(row));
   }
+  root["barred"] = Json::Value(Json::arrayValue);
+  for (const std::string& host : s.barred) root["barred"].append(host);
   return config::seal(std::move(root), kMagic, kFormat, kDigits);
 }
 
@@ -73,6 +73,11 @@
   s.fleet = root["fleet"].asString();
   s.life = root["life"].asUInt64();
   s.written = std::chrono::milliseconds(root["written"].asInt64());
+  if (!root["barred"].isArray() || root["barred"].size() > kMostRows) return std::nullopt;
+  for (const Json::Value& host : root["barred"]) {
+    if (!host.isString()) return std::nullopt;
+    s.barred.insert(host.asString());
+  }
   for (const Json::Value& row : root["rows"])
     if (!read_row(row, s.rows.emplace_back())) return std::nullopt;
   return s;
@@ -86,10 +91,12 @@
   return nullptr;
 }
 
-std::uint32_t reports_for(Duration age, bool started) {
-  if (started) return 0;
-  const double fading = static_cast<double>(std::max(age, Duration{0}).count()) / static_cast<double>(kFades.count());
-  return static_cast<std::uint32_t>(kReports * std::exp(-fading) + 0.5);
+std::optional<Evidence> believed(const Evidence& e, Duration age, bool started) {
+  if (started || e.utils > kMostReports * kMostUtilisation || e.rates > kMostReports * kMostRate) return std::nullopt;
+  if (e.answers > kMostAnswers || e.paces > kMostPace * e.answers) return std::nullopt;
+  const double kept = std::exp(-std::chrono::duration<double>(std::max(age, Duration{0})) / kFades);
+  if (kept * (e.utils + e.answers) < kLeast) return std::nullopt;
+  return Evidence{kept * e.rates, kept * e.utils, kept * e.paces, kept * e.answers};
 }
 
 }  // namespace beechhill::snapshot
--- a/src/snapshot/state.h
+++ b/src/snapshot/state.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,18 +14,11 @@
 
 namespace beechhill::snapshot {
 
-// What one backend's reports said lately, smoothed.
-struct Note {
-  double utilisation = 0, rate_per_s = 0;
-  std::optional<Time> at;  // of the latest; nothing: none came
-  void add(Time now, const LoadReport& report);
-};
-
 struct Row {
   std::string host;
   std::chrono::milliseconds born{0};  // Unix time of its start as the list told it; 0: not told
   std::chrono::milliseconds at{0};    // Unix time
-  double utilisation = 0, rate_per_s = 0;
+  Evidence evidence;
 };
 
 struct Snapshot {
@@ -33,6 +27,7 @@
   std::uint64_t life = 0;
   std::chrono::milliseconds written{0};  // Unix time
   std::vector<Row> rows;
+  std::set<std::string> barred;  // ids that operators had left out: no age makes these void
 };
 
 inline constexpr std::size_t kMostRows = 10'000, kMostBytes = 4 * 1024 * 1024;
@@ -42,11 +37,11 @@
 // Nothing where it is torn, no snapshot, another version's or too long; whole or not at all.
 std::optional<Snapshot> decode(std::string_view text);
 
-// Why it may not be used by that process now, as a reason code; null where it may.
+// Why its rows may not be used by that process now, as a reason code; null where they may.
 const char* refusal(const Snapshot& snapshot, std::string_view name, std::string_view fleet, std::chrono::milliseconds now);
 
-// A row as the reports that it stands for: fewer the older it is, none where it says nothing any more. `started`: whether the backend
-// is another start than the row's.
-std::uint32_t reports_for(Duration age, bool started);
+// What of it is still to be believed at that age; nothing where it says nothing any more, is absurd, or stands for another start of the
+// backend (`started`).
+std::optional<Evidence> believed(const Evidence& evidence, Duration age, bool started);
 
 }  // namespace beechhill::snapshot
--- a/src/state.h
+++ b/src/state.h
@@ -87,24 +87,6 @@
   double faded(Time now, double span_s) const { return std::exp(-seconds(now - at) / span_s); }
 };
 
-struct Evidence {               // of a server, or summed over its kind; fading
-  double rates = 0, utils = 0;  // reported
-  double paces = 0;             // times of answers over what their class usually takes
-  double answers = 0;
-
-  void add_pace(double pace, double fading) {
-    paces += pace - fading * paces;
-    answers += 1 - fading * answers;
-  }
-  Evidence& operator+=(const Evidence& e) {
-    rates += e.rates;
-    utils += e.utils;
-    paces += e.paces;
-    answers += e.answers;
-    return *this;
-  }
-};
-
 struct Tally {  // of attempts of one class, or summed; fading
   double tries = 0, errors = 0;
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -63,6 +63,13 @@
 
 Scenario day(const std::string& faults) { return emulator::read_scenario(config::parse_toml(kDay + faults, "day"), "day"); }
 
+// The same with state that outlasts a process.
+Scenario kept_day(const std::string& faults) {
+  std::string text = kDay + faults;
+  text.insert(text.find("count = 6"), "snapshot_every = \"100ms\"\n");
+  return emulator::read_scenario(config::parse_toml(text, "day"), "day");
+}
+
 std::string fault(const std::string& kind, const std::string& at, const std::string& length, const std::string& more) {
   return "[[fault]]\nkind = \"" + kind + "\"\nat = \"" + at + "\"\nfor = \"" + length + "\"\n" + more + "\n";
 }
@@ -130,6 +137,64 @@
   expect_back(play(s), s, std::chrono::seconds(6));
 }
 
+// All restart at once, each with another state: lost, torn, with one bit turned over, an hour old, from a disk that was full, and from
+// one that hung. None is served the worse, none asks more than one list, and what cannot be used is set aside.
+void restart_with_every_kind_of_state() {
+  const auto state = [](const char* kind, int first, const char* more = "") {
+    return fault(kind, "2200ms", "100ms", "proxies = 1\nfirst = " + std::to_string(first) + "\n" + more);
+  };
+  const Scenario s = kept_day(fault("proxy_crash", "2s", "600ms", "part = 1.0") + state("state_lost", 0) + state("state_torn", 1) +
+                              state("state_flipped", 2) + state("state_aged", 3, "delay = \"1h\"") +
+                              fault("disk_full", "1s", "4s", "proxies = 1\nfirst = 4") + fault("disk_hangs", "1s", "4s", "proxies = 1\nfirst = 5"));
+  lab::SocketRun run = play(s);
+  expect_back(run, s, std::chrono::seconds(6));
+  assert(run.most_lists == 2);
+  assert(run.said["snapshot_set_aside"] == 3);                            // torn, turned over, an hour old
+  assert(run.said["snapshot_lost"] >= 1 && run.said["snapshot_found"] >= 3);  // the full disk; the last three, and bans of the old one
+}
+
+// The state goes back to before every backend was replaced: all of it is void, and nothing is sent to what was there then.
+void state_from_before_a_rolling_deploy() {
+  const Scenario s = kept_day(fault("state_old", "1300ms", "3s", "part = 1.0") + fault("drain", "1500ms", "500ms", "cell = 0") +
+                              fault("drain", "2500ms", "500ms", "cell = 1") + fault("proxy_crash", "4s", "500ms", "part = 1.0"));
+  lab::SocketRun run = play(s);
+  expect_back(run, s, std::chrono::seconds(7));
+  assert(run.said["snapshot_found"] == 6 && run.recalled == 0 && run.voided > 0);
+}
+
+// Half come back with fresh state and half with old, while discovery tells three of them a list from before a drain.
+void half_remember_and_discovery_is_rewound() {
+  const Scenario s = kept_day(fault("proxy_crash", "3s", "600ms", "part = 1.0") + fault("state_aged", "3200ms", "100ms", "proxies = 3\ndelay = \"1h\"") +
+                              fault("drain", "2s", "3s", "nodes = 2") + fault("discovery_rewound", "2800ms", "1500ms", "proxies = 3\nfirst = 1\ndelay = \"1500ms\""));
+  expect_back(play(s), s, std::chrono::seconds(6));
+}
+
+// Plans drawn from seeds, those of state among them.
+void drawn_plans_on_processes(std::uint64_t first) {
+  for (std::uint64_t seed = first; seed < first + 3; ++seed) {
+    Scenario s = kept_day("");
+    s.seed = seed;
+    s.faults = lab::draw_faults(s, seed);
+    std::fprintf(stderr, "seed %llu\n%s", static_cast<unsigned long long>(seed), lab::to_toml(s, s.faults).c_str());
+    play(s);
+  }
+}
+void drawn_plans_on_processes_1() { drawn_plans_on_processes(1); }
+void drawn_plans_on_processes_2() { drawn_plans_on_processes(4); }
+
+// State that was lost altogether is the same as a first start: to the last figure.
+void lost_state_is_a_first_start() {
+  const std::string crash = fault("proxy_crash", "3s", "500ms", "part = 1.0");
+  const auto result = [](const Scenario& s) {
+    lab::Play p = lab::play_fleet(s, {.emulated = true, .policy = "module", .program = {}, .control = false});
+    p.result.removeMember("events");  // the fault itself is two
+    return p.result.toStyledString();
+  };
+  const std::string none = result(day(crash));
+  assert(result(kept_day(crash + fault("state_lost", "3200ms", "100ms", "part = 1.0"))) == none);
+  assert(result(kept_day(crash)) != none);  // what was kept is used
+}
+
 // The books tell what breaks a rule, whoever says otherwise.
 void books_see_what_is_broken() {
   const Scenario s = day("");
@@ -229,6 +294,12 @@
     {"return_meets_a_drain_and_a_silent_discovery", return_meets_a_drain_and_a_silent_discovery},
     {"all_stop_and_go_on", all_stop_and_go_on},
     {"a_split_in_a_rolling_restart", a_split_in_a_rolling_restart},
+    {"restart_with_every_kind_of_state", restart_with_every_kind_of_state},
+    {"state_from_before_a_rolling_deploy", state_from_before_a_rolling_deploy},
+    {"half_remember_and_discovery_is_rewound", half_remember_and_discovery_is_rewound},
+    {"drawn_plans_on_processes_1", drawn_plans_on_processes_1},
+    {"drawn_plans_on_processes_2", drawn_plans_on_processes_2},
+    {"lost_state_is_a_first_start", lost_state_is_a_first_start},
     {"books_see_what_is_broken", books_see_what_is_broken},
     {"drawn_plans_break_no_rule", drawn_plans_break_no_rule},
     {"shrinks_to_what_fails", shrinks_to_what_fails},
--- a/tests/snapshot_test.cpp
+++ b/tests/snapshot_test.cpp
@@ -28,13 +28,13 @@
   std::string path;
 };
 
-Snapshot sample() { return {"t", "z/0/ver", 7, 1'000'000ms, {{"s-1", 5ms, 999'000ms, 0.5, 12.25}, {"s \"2\"", 0ms, 1ms, 0, 0}}}; }
+Snapshot sample() { return {"t", "z/0/ver", 7, 1'000'000ms, {{"s-1", 5ms, 999'000ms, {12.25, 0.5, 3, 2}}, {"s \"2\"", 0ms, 1ms, {}}}, {"s-9"}}; }
 
 void is_believed_only_where_it_may() {
   const Snapshot s = sample();
   const auto read = snapshot::decode(snapshot::encode(s));
   assert(read && read->name == s.name && read->fleet == s.fleet && read->life == 7 && read->written == s.written);
-  assert(read->rows.size() == 2 && read->rows[0].rate_per_s == 12.25 && read->rows[1].host == "s \"2\"");
+  assert(read->rows.size() == 2 && read->rows[0].evidence.rates == 12.25 && read->rows[0].evidence.paces == 3 && read->rows[1].host == "s \"2\"");
   const auto why = [&s](const char* name, const char* fleet, std::chrono::milliseconds now) {
     const char* reason = snapshot::refusal(s, name, fleet, now);
     return std::string(reason ? reason : "");
@@ -42,8 +42,11 @@
   assert(why("t", "z/0/ver", s.written + 5s).empty() && why("t", "z/0/ver", s.written - 1s).empty());
   assert(why("u", "z/0/ver", s.written) == "another_process" && why("t", "z/1/ver", s.written) == "other_settings");
   assert(why("t", "z/0/ver", s.written - 1min) == "from_the_future" && why("t", "z/0/ver", s.written + 1h) == "too_old");
-  const auto reports = [](std::chrono::seconds age, bool started) { return snapshot::reports_for(age, started); };
-  assert(reports(0s, false) == 5 && reports(60s, false) == 2 && reports(10min, false) == 0 && reports(0s, true) == 0);
+  const Evidence e{40, 2, 6, 3};
+  const auto left = [&e](std::chrono::seconds age) { return snapshot::believed(e, age, false); };
+  assert(left(0s)->utils == 2 && left(-1s)->answers == 3 && std::abs(left(60s)->rates - 40 / std::exp(1)) < 1e-9);
+  assert(!left(10min) && !snapshot::believed(e, 0s, true));
+  assert(!snapshot::believed({1e9, 2, 0, 0}, 0s, false) && !snapshot::believed({40, 2, 300, 3}, 0s, false));  // absurd
 }
 
 // Cut at every byte, bits turned over, parts doubled and versions swapped: none is taken, not by half, and none crashes.
@@ -68,7 +71,7 @@
     assert(bad == good || !taken(bad));
   }
   std::string other = good;
-  other.replace(other.find("\"format\":1"), 10, "\"format\":2");
+  other.replace(other.find("\"format\":2"), 10, "\"format\":1");  // an older one
   assert(!taken(other));
 }
 
@@ -83,12 +86,14 @@
       const Keeper second(folder.path, "t", "f");
     } catch (const std::runtime_error&) { refused = true; }
     assert(refused);
-    keeper.keep({{"s-1", 0ms, 900ms, 0.5, 10}}, 1000ms);
+    keeper.keep({{"s-1", 0ms, 900ms, {10, 0.5, 0, 0}}}, {"s-7"}, 1000ms);
   }  // its end writes what waits
   Keeper keeper(folder.path, "t", "f");
   const auto found = keeper.found(2000ms);
   assert(found && found->life == 1 && found->rows.size() == 1);
-  assert(!keeper.found(10h) && !std::filesystem::exists(folder.file()) && std::filesystem::exists(folder.file() + ".aside"));
+  const auto old = keeper.found(10h);
+  assert(old && old->rows.empty() && old->barred.contains("s-7"));  // a ban does not age
+  assert(!std::filesystem::exists(folder.file()) && std::filesystem::exists(folder.file() + ".aside"));
 }
 
 // A disk that hangs, then is full: keep() comes back at once, only the newest is written, and the end does not wait.
@@ -103,10 +108,10 @@
       errno = ENOSPC;
       return false;
     });
-    keeper.keep({}, 1ms);
+    keeper.keep({}, {}, 1ms);
     const auto end = Clock::now() + kPatience;
     while (*calls == 0) assert(Clock::now() < end), ::usleep(1000);
-    for (int i = 0; i < 1000; ++i) keeper.keep({}, 2ms);  // would hang here if one waited for the disk
+    for (int i = 0; i < 1000; ++i) keeper.keep({}, {}, 2ms);  // would hang here if one waited for the disk
     assert(*calls == 1);
     held->release();
     while (*calls < 2) assert(Clock::now() < end), ::usleep(1000);
@@ -126,7 +131,7 @@
   // Where the requests of a life go, one after another. With `reports` the backends tell their load, and it ends once a snapshot of that
   // stands; without, the process has only what it began with.
   std::string life(bool reports) {
-    Proxy proxy("[" + host_json("s-1", slow.address()) + "," + host_json("s-2", quick.address()) + "]");
+    Proxy proxy(hosts());
     Wire client = proxy.client();
     std::string went;
     for (int i = 0; i < 16; ++i) {
@@ -146,15 +151,14 @@
       expect_status(client, 200);
     }
     const auto end = Clock::now() + kPatience;
-    const auto whole = [this] {
-      std::ifstream in(folder.file());
-      const std::string text((std::istreambuf_iterator<char>(in)), {});
-      const auto s = snapshot::decode(text);
-      return s && s->rows.size() == 2;
-    };
-    while (reports && !whole()) assert(Clock::now() < end), ::usleep(5000);
+    while (reports && left().rows.size() != 2) assert(Clock::now() < end), ::usleep(5000);
     return went;
   }
+  std::string hosts() const { return "[" + host_json("s-1", slow.address()) + "," + host_json("s-2", quick.address()) + "]"; }
+  Snapshot left() const {  // what stands there, as far as it is whole
+    std::ifstream in(folder.file());
+    return snapshot::decode(std::string(std::istreambuf_iterator<char>(in), {})).value_or(Snapshot{});
+  }
   const Folder folder;
   Door slow, quick;
 };
@@ -182,6 +186,33 @@
   assert(3 * kept < 2 * lost && 3 * kept < 2 * torn);
 }
 
+// What an operator left out stays so through a kill, even where all else that was kept is too old; and comes back by one call.
+void a_ban_outlasts_a_kill() {
+  Lives lives(true);
+  const auto end = Clock::now() + kPatience;
+  {
+    const Proxy proxy(lives.hosts());
+    assert(proxy.call("PUT", "/api/exclude?target=s-1").status == 200);
+    while (!lives.left().barred.contains("s-1")) assert(Clock::now() < end), ::usleep(5000);
+  }
+  Snapshot old = lives.left();
+  old.written -= 1h;
+  std::ofstream(lives.folder.file()) << snapshot::encode(old);
+  const Proxy proxy(lives.hosts());
+  Wire client = proxy.client();
+  const auto ask = [&](const Door& door, const std::string& id) {
+    client.send(Proxy::get(id));
+    Wire wire = door.accept();
+    wire.request();
+    wire.reply(200, "Connection: close\r\n", "");
+    expect_status(client, 200);
+  };
+  for (int i = 0; i < 8; ++i) ask(lives.quick, "b" + std::to_string(i));
+  assert(!lives.slow.pending(0ms));
+  assert(proxy.call("PUT", "/api/include?target=s-1").status == 200 && proxy.call("PUT", "/api/exclude?target=s-2").status == 200);
+  ask(lives.slow, "c");
+}
+
 void is_off_unless_asked_for() {
   Lives lives(false);
   lives.life(false);
@@ -199,6 +230,7 @@
     {"keeps_one_process_apart", keeps_one_process_apart},
     {"a_bad_disk_costs_snapshots_only", a_bad_disk_costs_snapshots_only},
     {"a_killed_process_remembers", a_killed_process_remembers},
+    {"a_ban_outlasts_a_kill", a_ban_outlasts_a_kill},
     {"is_off_unless_asked_for", is_off_unless_asked_for},
   });
 }
