--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -47,7 +47,7 @@
 constexpr double kRateSpan = 5;           // seconds, memory of the rate of own sends
 constexpr double kFewServers = 8;         // that an instance uses at the least
 constexpr double kAnswers = 10;           // of each in kEvidenceSpan that tell its pace; 5 to 20 alike
-constexpr double kCover = 20;             // instances that use each server, if they are many; 10 to 40 alike
+constexpr double kCover = 40;             // instances that use each server, if they are many; 20 to 60 alike
 constexpr std::size_t kLookAtAll = 64;    // servers, of which each choice looks at every one
 constexpr int kSample = 20;               // of more, so many at random: 7 of 8 times one of the best tenth
 constexpr int kSurveyShare = 10;          // what they show together is summed once in n / this many choices
@@ -426,7 +426,7 @@
   }
 
   // Own sends a second. Decays between sends too: guards against a rare sender's share of a cold server.
-  double send_rate() const { return sends_.count(now_, kRateSpan) / kRateSpan; }
+  double send_rate() const { return sends_.rate(now_, kRateSpan, began_); }
 
   // ---- Outcomes
 
@@ -692,6 +692,7 @@
 
   Settings s_;
   Time now_;
+  const Time began_ = now_;
   std::mt19937_64 random_;
   std::vector<Action>* out_;
   std::vector<Level> levels_;
--- a/src/state.h
+++ b/src/state.h
@@ -78,6 +78,12 @@
     sum = sum * kept + value, weight = weight * kept + 1, at = now;
   }
   double count(Time now, double span_s) const { return weight * faded(now, span_s); }
+  // A second. Guards against taking a short life's rate for low: what came since `begun` then counts as all there is. A second of it
+  // at the least, or one that came at once would be thousands.
+  double rate(Time now, double span_s, Time begun) const {
+    const double life = std::max(1.0, seconds(now - begun));
+    return count(now, span_s) / (span_s * (1 - std::exp(-life / span_s)));
+  }
   double mean(Time now, double span_s) const {  // towards 0 with time, as if one more value had been 0
     const double kept = faded(now, span_s);
     return sum * kept / (weight * kept + 1);
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -143,6 +143,27 @@
   EXPECT_GT(frequent, 20u * 55);
 }
 
+// Guards against instances that start together and crowd a few servers each, until a rate over five seconds has built up.
+TEST(Lagging, ANewInstanceSoonUsesAsManyServersAsItsRateTells) {
+  Settings settings = basic_settings();
+  settings.replicas = 1000;
+  std::size_t met = 0;
+  for (settings.seed = 0; settings.seed < 10; ++settings.seed) {
+    Driver d(settings);
+    d.servers(60);
+    std::set<ServerId> sent;
+    for (RequestId id = 0; id < 100; ++id) {
+      d.request(id);
+      if (id >= 64) sent.insert(d.sends.back().server);  // from the second second on
+      d.pass(milliseconds(10));
+      d.outcome(id, 0, Result::kOk);
+      d.pass(milliseconds(6));
+    }
+    met += sent.size();
+  }
+  EXPECT_GT(met, 10u * 26);  // of 36 sends; 13 servers where a fifth of the rate counts
+}
+
 // Guards against crowding the slowest kind in an instance's first seconds (incident ic9b421).
 TEST(Probing, ANewInstanceAsksAFewServersOfKindsItDoesNotKnow) {
   Settings s = basic_settings();
