--- a/src/admin/admin_door.cpp
+++ b/src/admin/admin_door.cpp
@@ -22,6 +22,7 @@
 constexpr auto kReadLimit = 1500ms;   // for a whole call
 constexpr auto kSilentAge = 20ms;     // when the door is full: a caller that means it has spoken by then
 constexpr auto kAnswerLimit = 800ms;  // for the actor that owns the matter; an answer is due within 1 s
+constexpr auto kGroupLimit = 3000ms;  // what the proxies have to settle first
 constexpr auto kWriteLimit = 2000ms, kLingerLimit = 500ms;
 constexpr auto kAcceptPause = 10ms;
 
@@ -29,13 +30,14 @@
 
 AdminDoor::AdminDoor(runtime::Scheduler& scheduler, const sockaddr_in& address, proxy::DecisionBox& decisions,
                      handover::OrderBox& orders, const proxy::Telemetry& telemetry,
-                     const std::vector<std::string>& classes, std::function<bool()> serving)
+                     const std::vector<std::string>& classes, std::function<bool()> serving, Group group)
     : scheduler_(scheduler),
       decisions_(decisions),
       orders_(orders),
       telemetry_(telemetry),
       classes_(classes),
       serving_(std::move(serving)),
+      group_(std::move(group)),
       listener_(scheduler, address) {}
 
 Task<> AdminDoor::run() {
@@ -115,6 +117,10 @@
     std::string answer = co_await figures();
     co_return answer;
   }
+  if (status == 0 && call.what >= What::kMembers) {
+    std::string answer = co_await of_group(call);
+    co_return answer;
+  }
   if (status == 0 && call.what == What::kReady) {
     status = serving_() ? 200 : 503;
   } else if (status == 0) {
@@ -132,6 +138,19 @@
   co_return answer;
 }
 
+Task<std::string> AdminDoor::of_group(const Call& call) {
+  int status = 404;
+  const auto asked = std::make_shared<proxy::AskedText>();
+  if (group_) {
+    group_(call, asked);
+    const std::shared_ptr<Asked> base = asked;
+    status = co_await proxy::settled(scheduler_, base, kGroupLimit);
+  }
+  const bool json = status == 200 && call.what != What::kWorksOrder;
+  std::string answer = http::write_response(status, json ? "Content-Type: application/json\r\n" : "", asked->text, true);
+  co_return answer;
+}
+
 Task<std::string> AdminDoor::figures() {
   const auto asked = std::make_shared<Asked>();
   int status = 503;
--- a/src/admin/call.h
+++ b/src/admin/call.h
@@ -1,18 +1,21 @@
 // What operators may call: method and path to a call, or the status that says what is wrong. No I/O.
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 
 namespace beechhill::admin {
 
-enum class What { kReady, kTelemetry, kExclude, kInclude, kEvacuate, kRejoin };
+enum class What { kReady, kTelemetry, kExclude, kInclude, kEvacuate, kRejoin, kMembers, kWorks, kWorksOrder };
 
 struct Call {
   int error = 0;  // 0: it can be carried out; else 400, 404 or 405
   What what = What::kReady;
   std::string target;  // a backend's id, for kExclude and kInclude
+  std::string verb;    // of kWorksOrder: the last part of its path
+  std::map<std::string, std::string> query;  // of kWorks and kWorksOrder
 };
 
 // `target` in origin form: path and query.
--- a/src/config/operator_file.h
+++ b/src/config/operator_file.h
@@ -4,9 +4,11 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 #include "config/toml_reader.h"
 #include "log/log.h"
+#include "maintenance/ledger.h"
 #include "routing/subset.h"
 
 namespace beechhill::config {
@@ -16,8 +18,27 @@
   std::chrono::milliseconds every{2000};
 };
 
+struct MembershipSettings {
+  std::string listen;              // UDP, an IPv4 address and a port; empty: the process talks with no other
+  std::string advertise;           // where the others reach it; empty: `listen`
+  std::vector<std::string> seeds;  // addresses of some of the others
+  std::string key_file;            // a key a line, as 64 hexadecimal digits: the first signs, a second one is believed too
+  Duration interval{1'000'000};
+  Duration forget_after{3'600'000'000};
+};
+
+struct MaintenanceSettings {
+  std::vector<std::string> voters;  // names; none: machines are not taken out by agreement
+  std::string folder;               // of a voter's storage, on a disk that lasts
+  Duration lease{5'000'000}, isolated_after{0}, hear_within{5'000'000};
+  bool serve_unheard = false;
+  maintenance::Bounds bounds;
+};
+
 struct OperatorSettings {
   log::Settings log;
+  MembershipSettings membership;
+  MaintenanceSettings maintenance;
   SnapshotSettings snapshot;
   routing::SubsetSettings subset;
 };
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -107,10 +107,11 @@
                       f.kind == FaultKind::kErrors ? 1 : 1000);
   f.proxies = static_cast<std::uint32_t>(r.integer("proxies", 0, 0, s.proxies));
   f.way = static_cast<Way>(r.word("way", 0, {"both", "there", "back"}));
-  if (f.way != Way::kBoth && f.kind != FaultKind::kPartition) r.fault("way", "for a partition alone");
+  if (f.way != Way::kBoth && f.kind != FaultKind::kPartition && f.kind != FaultKind::kTalkCut) r.fault("way", "for a partition or a cut talk alone");
   f.first = static_cast<std::uint32_t>(r.integer("first", 0, 0, s.proxies - 1));
   if (strikes_proxies(f.kind) && f.proxies == 0 && f.part <= 0) r.fault("kind", "says no proxies: give part or proxies");
-  if (strikes_state(f.kind) && !s.snapshot_every) r.fault("kind", "no state is kept: give proxies.snapshot_every");
+  if (strikes_talk(f.kind) && s.group.voters == 0) r.fault("kind", "no proxies talk: give group.voters");
+  if (strikes_state(f.kind) && !s.snapshot_every && s.group.voters == 0) r.fault("kind", "no state is kept: give proxies.snapshot_every");
   const std::string tenant = r.text("tenant", s.tenants.empty() ? "" : s.tenants.front().name);
   while (f.tenant < s.tenants.size() && s.tenants[f.tenant].name != tenant) ++f.tenant;
   if (f.kind == FaultKind::kTenantBurst && f.tenant == s.tenants.size()) r.fault("tenant", "unknown: " + tenant);
@@ -196,6 +197,18 @@
   s.longest_advice = p.span("longest_advice", s.longest_advice);
   p.finish();
 
+  TomlReader u = r.table("group");
+  s.group.voters = static_cast<std::uint32_t>(u.integer("voters", 0, 0, 7));
+  if (s.group.voters > s.proxies) u.fault("voters", "more than proxies.count");
+  if (s.group.voters % 2 == 0 && s.group.voters > 0) u.fault("voters", "1, 3, 5 or 7");
+  s.group.lease = u.span("lease", s.group.lease, std::chrono::seconds(1));
+  s.group.isolated_after = u.span("isolated_after", s.group.isolated_after);
+  s.group.most_out = static_cast<std::uint32_t>(u.integer("most_out", s.group.most_out, 1, 1000));
+  s.group.reserve = u.number("reserve", s.group.reserve, 0, 10);
+  s.group.work = u.span("work", s.group.work);
+  s.group.work_on_all = u.flag("work_on_all", s.group.work_on_all);
+  u.finish();
+
   TomlReader d = r.table("discovery");
   s.list_lag = d.span("lag", s.list_lag);
   s.list_spread = d.span("spread", s.list_spread);
@@ -321,7 +334,8 @@
   static const std::vector<std::string> kWords{
       "silent", "errors", "slow", "late_reports", "stale_list", "crash", "drain", "replace", "proxy_crash", "partition",
       "burst", "tenant_burst", "proxy_stop", "proxy_end", "discovery_silent", "link_delay", "link_reset",
-      "discovery_rewound", "state_lost", "state_old", "state_torn", "state_flipped", "state_aged", "disk_full", "disk_hangs", "disk_gone"};
+      "discovery_rewound", "state_lost", "state_old", "state_torn", "state_flipped", "state_aged", "disk_full", "disk_hangs", "disk_gone",
+      "talk_cut", "talk_spoil"};
   return kWords;
 }
 
@@ -332,9 +346,11 @@
 
 bool strikes_proxies(FaultKind kind) {
   return kind == FaultKind::kProxyCrash || kind == FaultKind::kProxyStop || kind == FaultKind::kProxyEnd ||
-         kind == FaultKind::kDiscoverySilent || kind == FaultKind::kDiscoveryRewound || strikes_state(kind);
+         kind == FaultKind::kDiscoverySilent || kind == FaultKind::kDiscoveryRewound || strikes_state(kind) || kind == FaultKind::kTalkCut;
 }
 
+bool strikes_talk(FaultKind kind) { return kind == FaultKind::kTalkCut || kind == FaultKind::kTalkSpoil; }
+
 bool strikes_state(FaultKind kind) { return kind >= FaultKind::kStateLost && kind <= FaultKind::kDiskGone; }
 
 bool strikes_links(FaultKind kind) {
--- a/src/emulator/scenario.h
+++ b/src/emulator/scenario.h
@@ -92,6 +92,8 @@
   kStateFlipped,      // one bit of what they keep is turned over
   kStateAged,         // what they keep is older by `delay` than it was
   kDiskFull, kDiskHangs, kDiskGone,  // what they write does not fit, does not come back, cannot be opened
+  kTalkCut,    // these proxies and the others do not reach each other; the rig's alone, as all of talk
+  kTalkSpoil,  // of what proxies tell each other `factor` is lost and a third of that doubled, and comes up to `delay` late
 };
 enum class Way { kBoth, kThere, kBack };  // of a partition: requests, answers
 
@@ -109,6 +111,15 @@
   Way way = Way::kBoth;
 };
 
+struct GroupSpec {  // proxies that talk with each other and settle which backend is taken out (the rig's alone)
+  std::uint32_t voters = 0;  // 0: they do not
+  Duration lease{2'000'000}, isolated_after{0};
+  std::uint32_t most_out = 2;
+  double reserve = 0.1;
+  Duration work{500'000};    // of staff, on one backend
+  bool work_on_all = true;   // two of staff ask for the two halves of all backends, at two proxies
+};
+
 struct Scenario {
   std::string name;
   Duration length{20'000'000}, warm_up{2'000'000};
@@ -131,6 +142,7 @@
   std::vector<TenantSpec> tenants;
   std::vector<TierSpec> tiers;
   std::vector<FaultSpec> faults;
+  GroupSpec group;
   routing::SubsetSettings subset;  // of the first tier's proxies; `proxies` and `place` from the scenario if told
   bool subset_told = true;         // proxies know how many they are, and their place
 };
@@ -157,6 +169,7 @@
 std::size_t part_of(double part, std::size_t count);
 bool strikes_proxies(FaultKind kind);
 bool strikes_state(FaultKind kind);  // of proxies, too
+bool strikes_talk(FaultKind kind);
 bool strikes_links(FaultKind kind);  // between half of the proxies, the first, and the nodes that it strikes
 // The first tier's proxies that a fault strikes, by their number: from its first on, round the end.
 std::vector<std::uint32_t> proxies_struck(const Scenario& s, const FaultSpec& fault);
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -896,9 +896,11 @@
       cuts_.push_back(std::move(cut));
       break;
     }
+    case FaultKind::kTalkCut:
+    case FaultKind::kTalkSpoil:
     case FaultKind::kBurst:
     case FaultKind::kTenantBurst:
-      break;  // the arrivals know
+      break;  // the arrivals know; of talk there is none here
   }
 }
 
@@ -963,6 +965,8 @@
       std::erase_if(cuts_, [fault](const Cut& c) { return c.fault == fault; });
       break;
     case FaultKind::kReplace:
+    case FaultKind::kTalkCut:
+    case FaultKind::kTalkSpoil:
     case FaultKind::kBurst:
     case FaultKind::kTenantBurst:
       break;
--- a/src/lab/books.cpp
+++ b/src/lab/books.cpp
@@ -82,6 +82,7 @@
 
 std::uint32_t Books::arrived(CallId call, const ServerEntry& node) {
   count(arrivals_[node.server], now_());
+  sent_to_out_ += out_.contains(node.server);
   const auto it = open_.find(call);
   if (it == open_.end()) return 0;
   const Told& told = told_[it->second.proxy][node.server];
--- a/src/lab/books.h
+++ b/src/lab/books.h
@@ -50,6 +50,10 @@
   // The plan's: the link of the two is cut, and stands again. What comes over it then may have been sent before.
   void cut(std::size_t proxy, ServerId node, bool on);
 
+  // Staff's: a backend is out for work, and is back. Whatever reaches it meanwhile is counted, however it came there.
+  void out(ServerId node, bool on) { on ? void(out_.insert(node)) : void(out_.erase(node)); }
+  std::uint64_t sent_to_out() const { return sent_to_out_; }
+
   // The agents': what was written to a proxy. `whole`: a list, in which whatever it lacks is gone.
   void told(std::size_t proxy, const std::vector<ServerEntry>& rows, bool whole);
   void asked_whole(std::size_t proxy) { ++lists_[proxy]; }
@@ -97,6 +101,8 @@
   std::vector<std::vector<std::uint32_t>> connections_, arrivals_;
   std::vector<std::uint32_t> lists_;
   std::uint64_t excused_ = 0;
+  std::set<ServerId> out_;
+  std::uint64_t sent_to_out_ = 0;
 };
 
 }  // namespace beechhill::lab
--- a/src/lab/fleet/plan.cpp
+++ b/src/lab/fleet/plan.cpp
@@ -18,7 +18,8 @@
 constexpr std::uint64_t kPlanStream = 1ULL << 39;
 
 bool of_processes(const FaultSpec& f) {
-  return emulator::strikes_proxies(f.kind) && f.kind != FaultKind::kDiscoverySilent && f.kind != FaultKind::kDiscoveryRewound;
+  return emulator::strikes_proxies(f.kind) && f.kind != FaultKind::kDiscoverySilent && f.kind != FaultKind::kDiscoveryRewound &&
+         !emulator::strikes_talk(f.kind);
 }
 
 std::string span(Duration d) { return fmt::format("\"{}us\"", d.count()); }
--- a/src/lab/main.cpp
+++ b/src/lab/main.cpp
@@ -16,6 +16,9 @@
 #include "experiments/plot.h"
 #include "lab/fleet/fleet.h"
 #include "lab/sockets.h"
+#ifdef BEECHHILL_TALK
+#include "lab/talk.h"
+#endif
 
 namespace {
 
@@ -192,6 +195,10 @@
 
   lab::add_socket_commands(app, code);
   lab::add_fleet_command(app, code);
+#ifdef BEECHHILL_TALK
+  lab::add_membership_command(app, code);
+  lab::add_works_command(app, code);
+#endif
 
   c = app.add_subcommand("version", "Print the version");
   c->callback([] { fmt::print("beechhill-lab {}\n", BEECHHILL_VERSION); });
--- a/src/lab/process.cpp
+++ b/src/lab/process.cpp
@@ -140,16 +140,27 @@
     cpu_s_ += static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
 }
 
-Task<bool> ready(runtime::Scheduler& scheduler, sockaddr_in address) {
-  const auto deadline = Clock::now() + 200ms;
-  std::unique_ptr<net::Stream> stream = co_await net::Stream::connect(scheduler, address, deadline);
-  if (!stream) co_return false;
-  const std::string request = http::write_request("GET", "/health/ready", "proxy", "Connection: close\r\n", "");
+Task<HttpAnswer> call_http(runtime::Scheduler& scheduler, sockaddr_in to, std::string method, std::string target, Clock::duration within) {
+  const auto deadline = Clock::now() + within;
+  HttpAnswer answer;
+  std::unique_ptr<net::Stream> stream = co_await net::Stream::connect(scheduler, to, deadline);
+  if (!stream) co_return answer;
+  const std::string request = http::write_request(method, target, "proxy", "Connection: close\r\n", "");
   const Io written = co_await stream->write(request, deadline);
-  if (written != Io::kOk) co_return false;
+  http::Parser parser(http::Parser::Kind::kResponse);
+  http::Progress progress = http::Progress::kMore;
   std::string buffer;
-  const Io read = co_await stream->read(buffer, deadline);
-  co_return read == Io::kOk && buffer.starts_with("HTTP/1.1 200");
+  while (written == Io::kOk && progress == http::Progress::kMore) {
+    const Io io = co_await stream->read(buffer, deadline);
+    progress = io == Io::kOk ? parser.feed(buffer) : io == Io::kEof ? parser.end() : http::Progress::kBad;
+  }
+  if (progress == http::Progress::kDone) answer = {parser.message().status, parser.message().body};
+  co_return answer;
+}
+
+Task<bool> ready(runtime::Scheduler& scheduler, sockaddr_in address) {
+  const HttpAnswer answer = co_await call_http(scheduler, address, "GET", "/health/ready", 200ms);
+  co_return answer.status == 200;
 }
 
 Task<> until_ready(runtime::Scheduler& scheduler, ProxyProcess& proxy) {
--- a/src/lab/process.h
+++ b/src/lab/process.h
@@ -64,6 +64,13 @@
   double cpu_s_ = 0;
 };
 
+// The status and the body of an answer; 0: none came in time.
+struct HttpAnswer {
+  int status = 0;
+  std::string body;
+};
+runtime::Task<HttpAnswer> call_http(runtime::Scheduler& scheduler, sockaddr_in to, std::string method, std::string target,
+                                    runtime::Clock::duration within);
 // Whether the proxy there says that it is ready, within 200 ms.
 runtime::Task<bool> ready(runtime::Scheduler& scheduler, sockaddr_in address);
 // Throws std::runtime_error where the proxy ends, or is not ready within 15 s.
--- a/src/lab/sockets.cpp
+++ b/src/lab/sockets.cpp
@@ -15,6 +15,11 @@
 #include "lab/load.h"
 #include "lab/process.h"
 #include "lab/state_folder.h"
+#ifdef BEECHHILL_TALK
+#include "lab/switchboard.h"
+#include "maintenance/agreement.h"
+#include "maintenance/disk_storage.h"
+#endif
 
 namespace beechhill::lab {
 
@@ -81,9 +86,11 @@
         fleet_(scheduler_, clock_, s_, &books_),
         struck_(s_.proxies),
         progress_(progress) {
+    found_group();
     for (std::uint32_t i = 0; i < s_.proxies; ++i) {
       const sockaddr_in address = ports_.emplace_back().address();
-      Json::Value config = proxy_config(s_, fmt::format("proxy-{}", i), net::to_string(address), fleet_, s_.seed * 1000 + i, i);
+      Json::Value config = proxy_config(s_, proxy_name(i), net::to_string(address), fleet_, s_.seed * 1000 + i, i);
+      if (s_.group.voters > 0) config["admin_addr"] = net::to_string(doors_.emplace_back().address());
       proxies_.push_back(std::make_unique<ProxyProcess>(folder_, program, std::move(config), address, operator_file(i)));
     }
   }
@@ -91,7 +98,7 @@
   SocketRun play() {
     scheduler_.spawn(then_stop(scheduler_, all()));
     scheduler_.run();
-    SocketRun out;
+    SocketRun& out = out_;
     out.metrics = load_->metrics();
     for (auto& p : proxies_) p->go_on(), p->ask_to_end();
     for (auto& p : proxies_) p->end(), out.proxy_cpu_s += p->cpu_s();
@@ -110,18 +117,130 @@
     out.result["node_connections"] = static_cast<Json::UInt64>(connections);
     out.result["attempts_per_request"] = out.asked > 0 ? static_cast<double>(taken) / static_cast<double>(out.asked) : 0;
     out.result["proxy_cpu_us_per_request"] = out.asked > 0 ? 1e6 * out.proxy_cpu_s / static_cast<double>(out.asked) : 0;
-    return out;
+    out.sent_to_out = books_.sent_to_out();
+    return std::move(out_);
   }
 
  private:
   // Of the operator file's parts, snapshots are on where the scenario has them.
   std::string operator_file(std::uint32_t i) {
-    if (!s_.snapshot_every) return {};
-    const std::string name = fmt::format("proxy-{}", i);
-    states_.push_back(std::make_unique<StateFolder>(folder_.file(name + ".state"), fmt::format("beechhill-{}.snapshot.new", name), s_.seed + i));
-    return fmt::format("[snapshot]\nfolder = \"{}\"\nevery = \"{}ms\"\n", states_.back()->path(), *s_.snapshot_every / 1ms);
+    if (!s_.snapshot_every && s_.group.voters == 0) return {};
+    const std::string name = proxy_name(i);
+    if (states_.size() <= i)
+      states_.push_back(std::make_unique<StateFolder>(folder_.file(name + ".state"), fmt::format("beechhill-{}.snapshot.new", name), s_.seed + i));
+    std::string text;
+    if (s_.snapshot_every) text = fmt::format("[snapshot]\nfolder = \"{}\"\nevery = \"{}ms\"\n", states_[i]->path(), *s_.snapshot_every / 1ms);
+    return text + group_file(i);
   }
 
+  static std::string proxy_name(std::uint32_t i) { return fmt::format("proxy-{}", i); }
+
+#ifdef BEECHHILL_TALK
+  std::string group_file(std::uint32_t i) const {
+    if (s_.group.voters == 0) return {};
+    const emulator::GroupSpec& g = s_.group;
+    std::string voters;
+    for (std::uint32_t v = 0; v < g.voters; ++v) voters += fmt::format("{}\"{}\"", v > 0 ? ", " : "", proxy_name(v));
+    return fmt::format("[membership]\nlisten = \"{}\"\nadvertise = \"{}\"\nseeds = [\"{}\", \"{}\"]\nkey_file = \"{}\"\ninterval = \"200ms\"\n"
+                       "[maintenance]\nvoters = [{}]\nfolder = \"{}\"\nlease = \"{}ms\"\nisolated_after = \"{}ms\"\nmost_out = {}\n"
+                       "most_out_zone = {}\nmost_out_cell = {}\nreserve = {}\nput_off = \"2s\"\ncalm = \"2s\"\napproval = false\n",
+                       board_->listens(i), board_->reached(i), board_->reached(0), board_->reached(1 % s_.proxies), folder_.file("key"), voters,
+                       states_[i]->path(), g.lease / 1ms, g.isolated_after / 1ms, g.most_out, g.most_out, g.most_out, g.reserve);
+  }
+
+  // The key, and what each voter's storage begins with: what the installation does once.
+  void found_group() {
+    if (s_.group.voters == 0) return;
+    board_ = std::make_unique<Switchboard>(scheduler_, s_.proxies, s_.seed);
+    std::ofstream(folder_.file("key")) << std::string(64, 'c') << "\n";
+    std::vector<std::string> voters;
+    for (std::uint32_t v = 0; v < s_.group.voters; ++v) voters.push_back(proxy_name(v));
+    for (std::uint32_t i = 0; i < s_.proxies; ++i) {
+      const std::string name = proxy_name(i);
+      states_.push_back(std::make_unique<StateFolder>(folder_.file(name + ".state"), fmt::format("beechhill-{}.snapshot.new", name), s_.seed + i));
+      if (i < s_.group.voters) maintenance::DiskStorage::found(states_[i]->path(), {name, 1}, maintenance::founding(voters));
+    }
+  }
+
+  void strike_talk(const emulator::FaultSpec& f, const std::vector<std::uint32_t>& struck, bool begins) {
+    if (f.kind == emulator::FaultKind::kTalkSpoil) return board_->spoil(begins ? f.factor : 0, begins ? f.factor / 3 : 0, begins ? f.delay : Duration{0});
+    std::vector<bool> inside(s_.proxies);
+    for (const std::uint32_t i : struck) inside[i] = true;
+    for (std::uint32_t a = 0; a < s_.proxies; ++a)
+      for (std::uint32_t b = 0; b < s_.proxies; ++b) {
+        if (inside[a] == inside[b]) continue;
+        if (f.way == emulator::Way::kBoth || inside[a] == (f.way == emulator::Way::kThere)) board_->cut(a, b, begins);
+      }
+  }
+
+  // Two of staff, who do not know of each other, each with half of all backends; then what is out is worked on and started again.
+  Task<> staff() {
+    std::string halves[2];
+    for (const auto& n : fleet_.nodes()) halves[n->id() % 2] += fmt::format("{}node-{}", halves[n->id() % 2].empty() ? "" : ",", n->id());
+    std::set<ServerId> in_work;
+    std::map<ServerId, Clock::time_point> ends;
+    std::map<ServerId, std::uint64_t> fences;
+    std::set<ServerId> done;  // and it is not settled yet
+    bool asked[2] = {false, false};
+    for (std::uint32_t turn = 0;; ++turn) {
+      for (int h = 0; h < 2; ++h) {
+        if (asked[h]) continue;
+        const std::string target = fmt::format("/api/maintenance/request?id=half-{}&at_once=2&by=staff-{}&machines={}", h, h, halves[h]);
+        const HttpAnswer answer = co_await call_http(scheduler_, doors_[(turn + 3 * h) % s_.proxies].address(), "PUT", target, 2s);
+        asked[h] = answer.status == 200;
+      }
+      const HttpAnswer list = co_await call_http(scheduler_, doors_[turn % s_.proxies].address(), "GET", "/api/maintenance", 2s);
+      Json::Value root;
+      if (list.status == 200 && read_json(list.body, root)) {
+        out_.works_text = list.body;
+        for (const Json::Value& c : root["courses"]) {
+          const auto node = static_cast<ServerId>(std::stoul(c["machine"].asString().substr(5)));
+          if (c["step"].asString() == "out" && done.contains(node)) {
+            const std::string target = fmt::format("/api/maintenance/done?id={}&machine={}", c["request"].asString(), c["machine"].asString());
+            const HttpAnswer answer = co_await call_http(scheduler_, doors_[turn % s_.proxies].address(), "PUT", target, 2s);
+            if (answer.status == 200) done.erase(node);
+          }
+          if (c["step"].asString() != "out" || in_work.contains(node) || fences[node] == c["fence"].asUInt64()) continue;
+          fences[node] = c["fence"].asUInt64();
+          in_work.insert(node);
+          ends[node] = Clock::now() + s_.group.work;
+          books_.out(node, true);
+          out_.most_at_once = std::max(out_.most_at_once, static_cast<std::uint32_t>(in_work.size()));
+        }
+        out_.open_requests = 0;
+        for (const Json::Value& q : root["requests"]) out_.open_requests += q["stage"].asString() == "approved";
+        if (asked[0] && asked[1] && out_.open_requests == 0 && out_.works_ended == Time{0}) out_.works_ended = clock_.now();
+      }
+      for (auto it = in_work.begin(); it != in_work.end();) {
+        if (Clock::now() < ends[*it]) {
+          ++it;
+          continue;
+        }
+        books_.out(*it, false);
+        fleet_.restart(*it);
+        ++out_.taken_out;
+        done.insert(*it);
+        it = in_work.erase(it);
+      }
+      Wait wait(scheduler_);
+      wait.until(Clock::now() + 100ms);
+      co_await wait;
+    }
+  }
+
+  static bool read_json(const std::string& text, Json::Value& root) {
+    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+    return reader->parse(text.data(), text.data() + text.size(), &root, nullptr);
+  }
+#else
+  std::string group_file(std::uint32_t) const { return {}; }
+  void found_group() {
+    if (s_.group.voters > 0) throw std::invalid_argument("group: this build has no membership (BEECHHILL_TALK)");
+  }
+  void strike_talk(const emulator::FaultSpec&, const std::vector<std::uint32_t>&, bool) {}
+  Task<> staff() { co_return; }
+#endif
+
   struct Struck {  // by the plan, just now
     std::uint32_t down = 0, stopped = 0;
     std::uint64_t life = 0;
@@ -158,8 +277,10 @@
     clock_.zero = Clock::now();  // the day begins
     load_ = std::make_unique<Load>(scheduler_, clock_, s_, std::move(addresses), books_);
     scheduler_.spawn(fleet_.play_faults([this](const emulator::FaultSpec& fault, const std::vector<std::uint32_t>& struck, bool begins) {
+      if (emulator::strikes_talk(fault.kind)) return strike_talk(fault, struck, begins);
       for (const std::uint32_t i : struck) strike(fault, i, begins);
     }));
+    if (s_.group.voters > 0 && s_.group.work_on_all) scheduler_.spawn(staff());
     if (progress_) scheduler_.spawn(tell());
     co_await load_->run();
   }
@@ -239,6 +360,11 @@
   Books books_;
   Fleet fleet_;
   std::vector<ReservedPort> ports_;  // of the proxies, also while they are away
+  std::vector<ReservedPort> doors_;  // of operators
+#ifdef BEECHHILL_TALK
+  std::unique_ptr<Switchboard> board_;
+#endif
+  SocketRun out_;
   std::vector<std::unique_ptr<StateFolder>> states_;  // by proxy; none where none is kept
   std::vector<std::unique_ptr<ProxyProcess>> proxies_;
   std::vector<Struck> struck_;
--- a/src/lab/sockets.h
+++ b/src/lab/sockets.h
@@ -29,6 +29,11 @@
   std::uint32_t most_connections = 0, most_arrivals = 0, most_lists = 0;
   std::map<std::string, std::size_t> said;  // lines about snapshots in the proxies' logs, by event: whether a fault struck, no verdict
   std::uint64_t recalled = 0, voided = 0;  // backends of which snapshots were believed, and not
+  std::uint64_t sent_to_out = 0;       // calls that reached a backend while staff had it out
+  std::uint32_t taken_out = 0, most_at_once = 0;  // backends that were worked on, and at a time
+  std::uint32_t open_requests = 0;     // of staff, at the end
+  std::string works_text;              // what was said of them last
+  Time works_ended{0};                 // when the last request had ended
   Time last_back{0};             // when the last proxy was ready again; 0: none was away
 };
 // Plays the scenario, which must outlive the result, with stand-in nodes and `scenario.proxies` real proxies, `program` each, and stops all that it
--- a/src/lab/standin.cpp
+++ b/src/lab/standin.cpp
@@ -432,6 +432,12 @@
   });
 }
 
+void Fleet::restart(ServerId node) {
+  nodes_[node]->set_mode(StandInNode::Mode::kDown);
+  nodes_[node]->set_mode(StandInNode::Mode::kUp);
+  tell(*nodes_[node], ServerState::kUp);
+}
+
 void Fleet::begin(std::size_t fault) {
   const FaultSpec& f = s_.faults[fault];
   struck_[fault] = emulator::nodes_struck(s_, fault, entries());
@@ -491,7 +497,7 @@
     for (const std::uint32_t i : struck) agents_[i]->silence(begins);
   } else if (f.kind == FaultKind::kDiscoveryRewound) {
     for (const std::uint32_t i : struck) agents_[i]->rewind(begins ? std::optional(clock_.now() - f.delay) : std::nullopt);
-  } else if (!struck.empty() && proxies_) {
+  } else if ((!struck.empty() || emulator::strikes_talk(f.kind)) && proxies_) {
     proxies_(f, struck, begins);
   }
 }
--- a/src/lab/standin.h
+++ b/src/lab/standin.h
@@ -140,6 +140,7 @@
   runtime::Task<> play_faults(StrikeProxies proxies);
   StandInDiscovery& agent(std::size_t proxy) { return *agents_[proxy]; }
   const std::vector<std::unique_ptr<StandInNode>>& nodes() const { return nodes_; }
+  void restart(ServerId node);  // staff's work on it is over: it starts again, and discovery says so
 
  private:
   Json::Value row(const StandInNode& node, ServerState state, const std::string& dial) const;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -12,6 +12,9 @@
 #include "config/operator_file.h"
 #include "log/log.h"
 #include "serve/serve.h"
+#ifdef BEECHHILL_TALK
+#include "maintenance/command.h"
+#endif
 
 namespace {
 
@@ -93,6 +96,10 @@
   c->add_option("--operator", operator_file, "Operator file (TOML), in place of BEECHHILL_OPERATOR's");
   c->callback([&] { code = check(config, operator_file); });
 
+#ifdef BEECHHILL_TALK
+  maintenance::add_command(app, code);
+#endif
+
   for (const auto& [name, text] : {std::pair{"emulate", "[lab] Play a scenario in simulated time"},
                                    {"experiment", "[lab] Run a grid of scenarios, policies and seeds"},
                                    {"plot", "[lab] Draw results into one HTML page"},
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -24,6 +24,16 @@
 
 bool is_up(State s) { return s == State::kAlive || s == State::kSuspect; }
 
+// As written: three short texts, their lengths, and the numbers.
+std::size_t size_of(const Rumour& r) { return r.name.size() + r.address.size() + r.by.size() + 19; }
+
+// Whether there is room for one more.
+bool takes(const Message& m, const Rumour& r) {
+  std::size_t bytes = size_of(r);
+  for (const Rumour& there : m.rumours) bytes += size_of(there);
+  return m.rumours.size() < kMostRumours && bytes <= kMostRumourBytes;
+}
+
 std::uint64_t mixed(std::uint64_t x) {
   x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
   x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
@@ -78,6 +88,7 @@
 
 void Swim::receive(Time now, const std::string& from, const std::string& address, const Message& m, std::vector<Outgoing>& out) {
   if (from == name_) return;
+  const bool newcomer = !sure_;
   for (const Rumour& r : m.rumours) hear(now, r);
   const auto answer = [&](Kind kind) { send(address, Message{kind, m.number, m.about, 0, {}}, from, out); };
   switch (m.kind) {
@@ -105,14 +116,13 @@
       if (probe_ && m.number == probe_->number) ++probe_->nacks;
       break;
     case Kind::kListAsk:
-      answer_list(address, m.about, from, out);
+      answer_list(address, m.about, out);
       break;
     case Kind::kList:
       if (!m.rumours.empty()) ask_list(address, m.rumours.back().name, from, out);
       break;
   }
   // Whoever holds other news than this one is asked for them, now and then; a newcomer at once.
-  const bool newcomer = members_.empty() || !sure_;
   if (m.kind == Kind::kAck && m.digest != digest_ && (newcomer || periods_ % kSyncEvery == 0)) ask_list(address, {}, from, out);
   reckon();
 }
@@ -133,8 +143,9 @@
 // What others say of this process is met by a higher incarnation. One of an earlier life, too.
 void Swim::hear_of_self(const Rumour& r) {
   const bool mine = r.life == life_;
+  // Told of a death late, after it has answered a suspicion, it learns of it all the same.
+  if (mine && r.state == State::kDead && r.incarnation >= deaths_from_) ++deaths_, deaths_from_ = r.incarnation + 1;
   if (r.incarnation < incarnation_ || (mine && r.state == State::kAlive) || (left_ && mine && r.state == State::kLeft)) return;
-  if (mine && r.state == State::kDead) ++deaths_;
   if (mine && r.state == State::kSuspect) shift(1);
   digest_ ^= digest_of(self());
   incarnation_ = r.incarnation + 1;
@@ -183,8 +194,13 @@
   message.rumours.push_back(self());
   const auto most = static_cast<unsigned>(kTellings * std::ceil(std::log2(static_cast<double>(members_.size()) + 2)));
   std::vector<std::string> taken;
-  for (auto it = news_order_.begin(); it != news_order_.end() && message.rumours.size() < kMostRumours; ++it)
-    if (it->second != to && it->second != name_) message.rumours.push_back(news_.at(it->second).rumour), taken.push_back(it->second);
+  for (auto it = news_order_.begin(); it != news_order_.end(); ++it) {
+    if (it->second == to || it->second == name_) continue;
+    const Rumour& news = news_.at(it->second).rumour;
+    if (!takes(message, news)) break;
+    message.rumours.push_back(news);
+    taken.push_back(it->second);
+  }
   taken.push_back(name_);  // told with every message, so no news for long
   for (const std::string& name : taken) {
     const auto it = news_.find(name);
@@ -208,10 +224,10 @@
 }
 
 // One page: bounded, and begun anew wherever the last one ended, so that nothing is kept for whoever asks.
-void Swim::answer_list(const std::string& address, const std::string& after, const std::string& from, std::vector<Outgoing>& out) {
+void Swim::answer_list(const std::string& address, const std::string& after, std::vector<Outgoing>& out) {
   Message page{Kind::kList, 0, {}, digest_, {}};
-  for (auto it = members_.upper_bound(after); it != members_.end() && page.rumours.size() < kMostRumours; ++it)
-    if (it->first != from || it->second.rumour.state != State::kAlive) page.rumours.push_back(it->second.rumour);
+  for (auto it = members_.upper_bound(after); it != members_.end() && takes(page, it->second.rumour); ++it)
+    page.rumours.push_back(it->second.rumour);
   out.push_back({address, std::move(page)});
 }
 
@@ -296,7 +312,7 @@
   double times = 1;
   if (wanted > 0)
     times = std::max(1.0, kUnconfirmed - (kUnconfirmed - 1) * std::log(static_cast<double>(confirmed) + 1) / std::log(static_cast<double>(wanted) + 1));
-  return Duration(static_cast<std::int64_t>(least * times * static_cast<double>(settings_.interval.count())) * (1 + slowness_));
+  return Duration(static_cast<std::int64_t>(least * times * static_cast<double>(settings_.interval.count())));
 }
 
 // Suspicions that nobody met become deaths; what is long gone is forgotten.
--- a/src/membership/swim.h
+++ b/src/membership/swim.h
@@ -10,6 +10,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "beechhill/balancer.h"
@@ -53,7 +54,8 @@
 };
 
 inline constexpr std::size_t kMostMembers = 2'000;
-inline constexpr std::size_t kMostRumours = 12;     // in one message: with the longest names they fit a datagram
+inline constexpr std::size_t kMostRumours = 12;         // in one message,
+inline constexpr std::size_t kMostRumourBytes = 1'100;  // and so many bytes of them: a message is one datagram
 inline constexpr std::size_t kLongestName = 48;
 inline constexpr unsigned kMostSlowness = 8;
 
@@ -133,7 +135,7 @@
   void ripen(Time now);
   void look_for_lost(std::vector<Outgoing>& out);
   void ask_list(const std::string& address, const std::string& after, const std::string& to, std::vector<Outgoing>& out);
-  void answer_list(const std::string& address, const std::string& after, const std::string& from, std::vector<Outgoing>& out);
+  void answer_list(const std::string& address, const std::string& after, std::vector<Outgoing>& out);
   void shift(int by);
   Duration suspicion_lasts(std::size_t confirmations) const;
   Duration period() const { return settings_.interval * (1 + slowness_); }
@@ -149,6 +151,7 @@
   unsigned slowness_ = 0;
   bool sure_ = false, left_ = false;
   std::uint64_t deaths_ = 0, next_number_ = 1, periods_ = 0;
+  std::uint32_t deaths_from_ = 0;  // incarnations whose death is not counted yet
   std::uint64_t sure_from_ = 0;  // an answer to this ping, or a later one, makes it sure
   std::map<std::string, Member> members_;
   std::map<std::string, Suspicion> suspicions_;
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -1,6 +1,7 @@
 #include "proxy/decision_actor.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "log/log.h"
 #include "proxy/log.h"
@@ -12,11 +13,12 @@
 // Every message but a list stands for a descriptor's doing, so this is not reached.
 constexpr std::size_t kInboxCapacity = 8192;
 constexpr std::size_t kMostGone = 16 * 1024;  // ids that operators may still name
+constexpr double kUsePart = 0.05;  // of a report, in the smoothed use of its zone: the last twenty count
 
 // What is heeded on the way back; all else waits for it.
 bool is_news(const DecisionMessage& message) {
   return std::holds_alternative<config::PoolConfig>(message) || std::holds_alternative<CaughtUp>(message) ||
-         std::holds_alternative<Exclude>(message);
+         std::holds_alternative<Exclude>(message) || std::holds_alternative<WorkRights>(message);
 }
 
 }  // namespace
@@ -29,6 +31,9 @@
       watch_(watch),
       inbox_(kInboxCapacity),
       barred_(std::move(barred)),
+      drain_grace_(config.named.settings.drain_grace),
+      cold_span_(config.named.settings.cold_span),
+      advice_(config.named.settings.max_retry_after),
       most_tries_(config.named.settings.most_tries),
       unix_offset_(std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch()) -
                    now()),
@@ -118,6 +123,10 @@
   Operation& op = *arrived.operation;
   op.id = next_id_++;
   entries_[op.id].operation = arrived.operation;
+  if (!may_serve()) {  // turned away at once, and harmlessly
+    end(entries_[op.id], BusyReply{advice_});
+    return tidy(op.id);
+  }
   Request request;
   request.id = op.id;
   request.class_id = op.class_id;
@@ -152,6 +161,7 @@
   } else if (rest) {
     rest->leave();
   }
+  if (done.attempt < entry.servers.size()) note_use(entry.servers[done.attempt], done.report);
   const Outcome outcome{done.operation, done.attempt, done.result, entry.over, done.report, spent};
   drive(outcome);
   tidy(done.operation);
@@ -190,7 +200,8 @@
   Result never = Result::kOk;
   if (entry.over || step.deadline <= now() || entry.servers.size() > most_tries_) {
     never = Result::kMoot;
-  } else if (backend.state != ServerState::kUp || backend.barred || !backend.peer->post(RouteStep(step))) {
+  } else if (backend.state != ServerState::kUp || backend.barred || now() >= backend.until ||
+             !backend.peer->post(RouteStep(step))) {
     never = Result::kConnectFailed;
   }
   if (never != Result::kOk) own_.push_back(StepDone{a.id, step.attempt, never, {}, {}});
@@ -236,10 +247,13 @@
     e.cell = row.cell;
     if (row.born.count() > 0) e.born = std::chrono::duration_cast<Time>(row.born) - unix_offset_;
     if (e.server >= backends_.size()) backends_.emplace_back();
+    backends_[e.server].zone = e.zone, backends_[e.server].kind = e.kind, backends_[e.server].cell = e.cell;
     if (!backends_[e.server].peer) {
       backends_[e.server].peer = make_peer_(inbox_, e.server, row.address);
       // Before the list itself: a ban outlasts it.
-      if (barred_.contains(row.host)) bar(e.server, true);
+      if (out(row.host)) bar(e.server, true);
+      const auto right = rights_.until.find(row.host);
+      backends_[e.server].until = right == rights_.until.end() ? Time::max() : right->second;
     }
     named.resize(backends_.size(), false);
     named[e.server] = true;
@@ -297,18 +311,82 @@
   const bool known = !order.asked || ever_listed(order.host);  // another process of this proxy knew it
   if (known) {
     const bool changed = order.out ? barred_.insert(order.host).second : barred_.erase(order.host) > 0;
-    const auto server = servers_.known(order.host);
-    if (changed && server) {
-      Backend& backend = backends_[*server];
-      bar(*server, order.out);
-      tell(*server, PeerStatus{backend.state, now(), backend.address, backend.born});
-      let_go(*server);
-    }
+    if (changed) refresh(order.host);
   }
   if (order.asked) order.asked->answer(known ? 200 : 404);
 }
 
+// Left out by hand, or out for work: either bars.
+bool DecisionActor::out(const std::string& host) const {
+  const auto right = rights_.until.find(host);
+  return barred_.contains(host) || (right != rights_.until.end() && right->second <= now());
+}
+
+void DecisionActor::refresh(const std::string& host) {
+  const auto server = servers_.known(host);
+  if (!server) return;
+  Backend& backend = backends_[*server];
+  const auto right = rights_.until.find(host);
+  const Time until = right == rights_.until.end() ? Time::max() : right->second;
+  const bool barred = out(host);
+  if (barred == backend.barred && until == backend.until) return;
+  backend.until = until;
+  if (barred != backend.barred) bar(*server, barred);
+  tell(*server, PeerStatus{backend.state, now(), backend.address, backend.born});
+  let_go(*server);
+}
+
+void DecisionActor::on(WorkRights& rights) {
+  const WorkRights before = std::exchange(rights_, std::move(rights));
+  serve_until_ = rights_.serve_until;
+  for (const auto& [host, until] : before.until)
+    if (!rights_.until.contains(host)) refresh(host);
+  for (const auto& [host, until] : rights_.until) refresh(host);
+}
+
+std::vector<DecisionActor::Listed> DecisionActor::listed() const {
+  std::vector<Listed> all;
+  double rates = 0, utils = 0;
+  for (ServerId id = 0; id < backends_.size(); ++id) {
+    if (!backends_[id].peer) continue;
+    const Evidence e = balancer_.known(id);
+    rates += e.rates, utils += e.utils;
+  }
+  for (ServerId id = 0; id < backends_.size(); ++id) {
+    const Backend& b = backends_[id];
+    if (!b.peer || b.state == ServerState::kRemoved) continue;
+    const std::string& host = servers_.name(id);
+    const Evidence e = balancer_.known(id);
+    // To the nearest half power of two: what is settled must not move with every report.
+    const double weight = e.utils > 1 && rates > 0 ? e.rates / e.utils / (rates / utils) : 1;
+    const double width = std::exp2(std::round(2 * std::log2(std::clamp(weight, 0.1, 10.0))) / 2);
+    const bool warm = b.born.count() == 0 || now() >= std::chrono::duration_cast<Time>(b.born) - unix_offset_ + cold_span_;
+    all.push_back({host, zones_.name(b.zone), kinds_.name(b.kind), b.cell, b.state == ServerState::kUp && !barred_.contains(host), warm, b.born, width});
+  }
+  return all;
+}
+
+std::map<std::string, double> DecisionActor::use() const {
+  std::map<std::string, double> all;
+  for (const auto& [zone, use] : use_) all[zones_.name(zone)] = use;
+  return all;
+}
+
+void DecisionActor::note_use(ServerId server, const LoadReport& report) {
+  if (!report.utilisation || !(*report.utilisation >= 0 && *report.utilisation <= 1)) return;
+  double& use = use_.try_emplace(backends_[server].zone, *report.utilisation).first->second;
+  use += kUsePart * (*report.utilisation - use);
+}
+
+std::set<std::string> DecisionActor::busy() const {
+  std::set<std::string> all;
+  for (ServerId id = 0; id < backends_.size(); ++id)
+    if (const Backend& b = backends_[id]; b.peer && b.barred && (b.used > 0 || now() < b.barred_at + drain_grace_)) all.insert(servers_.name(id));
+  return all;
+}
+
 void DecisionActor::bar(ServerId server, bool barred) {
+  if (barred && !backends_[server].barred) backends_[server].barred_at = now();
   backends_[server].barred = barred;
   drive(Barred{server, barred});
 }
@@ -317,6 +395,7 @@
   Backend& backend = backends_[server];
   backend.state = status.state;
   if (status.state != ServerState::kRemoved) backend.address = status.address, backend.born = status.born;
+  status.until = backend.until;
   // To its peer a backend that is left out is one that drains: what is not begun stays unsent, idle connections go.
   if (backend.barred && status.state == ServerState::kUp) status.state = ServerState::kDraining;
   if (!backends_[server].peer->post(status)) log_lost("peer_status");
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -34,7 +34,23 @@
   bool has_list() const { return course_.stage() != recovery::Stage::kEmpty; }
   bool heard() const { return heard_; }  // from discovery, since the start
   // Whether what is held may decide where something new goes: not within a gap, nor until discovery was heard after it.
-  bool current() const { return course_.current(now()); }
+  bool current() const { return course_.current(now()) && may_serve(); }
+  bool may_serve() const { return now() < serve_until_; }
+  recovery::Stage stage() const { return course_.stage(); }
+  // Nothing is sent until WorkRights say so.
+  void wait_for_rights() { serve_until_ = Time::min(); }
+
+  struct Listed {  // a backend, as staff's plans go by
+    std::string host, zone, kind;
+    std::uint32_t cell = 0;
+    bool up = false, warm = false;  // in service, and not left out by hand
+    std::chrono::milliseconds born{0};
+    double width = 1;  // of what it can do, against the others, as reports show it
+  };
+  std::vector<Listed> listed() const;
+  std::map<std::string, double> use() const;  // by zone, as reports say
+  // Of those that are left out: with something of this process open there, or in which what was begun may still leave.
+  std::set<std::string> busy() const;
   std::vector<snapshot::Row> learned() const;  // so far, with Unix times
   const std::set<std::string>& barred() const { return barred_; }
   runtime::Task<> run();
@@ -51,7 +67,10 @@
   struct Backend {
     std::unique_ptr<Peer> peer;                 // none: that number is free
     ServerState state = ServerState::kRemoved;  // as last told
-    bool barred = false;                        // left out by hand
+    bool barred = false;                        // left out by hand, or taken out for work
+    Time barred_at{0};
+    Time until = Time::max();                   // of the right to use it
+    std::uint32_t zone = 0, kind = 0, cell = 0;
     sockaddr_in address{};
     std::chrono::milliseconds born{0};
     std::size_t used = 0;                       // operations' attempts and probes that refer to it
@@ -74,6 +93,10 @@
   void on(CaughtUp&);
   void on(Exclude& order);
   void on(Census& census);
+  void on(WorkRights& rights);
+  bool out(const std::string& host) const;
+  void refresh(const std::string& host);
+  void note_use(ServerId server, const LoadReport& report);
   bool ever_listed(const std::string& host) const;
   void take_list(const config::PoolConfig& pool, ListKind kind);
   void bar(ServerId server, bool barred);
@@ -96,6 +119,10 @@
   std::optional<routing::SubsetView> subset_;
   DecisionBox inbox_;
   std::set<std::string> barred_;  // left out by hand, by id: a ban outlasts what the list says
+  WorkRights rights_;  // of machines in work, by id: they outlast what the list says, too
+  Time serve_until_ = Time::max();
+  std::map<std::uint32_t, double> use_;  // by zone, smoothed
+  Duration drain_grace_, cold_span_, advice_;
   std::uint32_t most_tries_;
   Time unix_offset_;  // Unix time less the module's clock
   std::unordered_map<std::string, snapshot::Row> claims_;  // of an earlier process, by host, until a list names it
--- a/src/proxy/front_socket.h
+++ b/src/proxy/front_socket.h
@@ -43,6 +43,7 @@
   runtime::Task<> tend();  // follows orders; returns when nothing is left after a planned end
   // Whether this process takes clients: drained or not, until its planned end.
   bool serving() const { return accepting_ && has_list_() && !course_.ending(); }
+  bool ending() const { return course_.ending(); }
   FdBudget& budget() { return budget_; }
 
  private:
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -81,6 +82,7 @@
   Time told{0};
   sockaddr_in address{};
   std::chrono::milliseconds born{0};  // its last start as the list has it
+  Time until = Time::max();           // when the right to send new work there ends
 };
 using PeerMessage = std::variant<RouteStep, CancelStep, ProbePeer, PeerStatus>;
 
@@ -118,6 +120,9 @@
     done.notify();
   }
 };
+struct AskedText : Asked {  // with a body
+  std::string text;
+};
 // Its status, or 503 where none came within `at_most`.
 inline runtime::Task<int> settled(runtime::Scheduler& scheduler, std::shared_ptr<Asked> asked,
                                   std::chrono::milliseconds at_most) {
@@ -138,10 +143,15 @@
   std::shared_ptr<Asked> asked;
 };
 
+struct WorkRights {  // what may be used, as the proxies have settled it
+  std::map<std::string, Time> until;  // of machines that are next to be taken out, or out (Time::min()), by id
+  Time serve_until = Time::max();     // nothing at all beyond
+};
+
 struct CaughtUp {};  // all that discovery had written when a CatchUp was taken has been posted
 
 using DecisionMessage =
-    std::variant<Arrived, Left, StepDone, StreamDone, ProbeDone, config::PoolConfig, CaughtUp, Exclude, Census>;
+    std::variant<Arrived, Left, StepDone, StreamDone, ProbeDone, config::PoolConfig, CaughtUp, Exclude, Census, WorkRights>;
 using DecisionBox = runtime::Mailbox<DecisionMessage>;
 
 struct WatchNow {};  // the module wants the list watched: no more pausing
--- a/src/proxy/peer_actor.cpp
+++ b/src/proxy/peer_actor.cpp
@@ -125,7 +125,7 @@
 }
 
 bool PeerActor::may_send() const {
-  return pool_.current() && (status_.state == ServerState::kUp ||
+  return pool_.current() && now() < status_.until && (status_.state == ServerState::kUp ||
                              now() < status_.told + settings_.drain_grace - settings_.drain_grace / kDrainMargin);
 }
 
--- /dev/null
+++ b/src/serve/group.h
@@ -0,0 +1,34 @@
+// This process among the other proxies: membership, and machines taken out by agreement. Off unless the operator file says so; a build without
+// BEECHHILL_TALK has none.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "admin/admin_door.h"
+#include "config/operator_file.h"
+#include "proxy/decision_actor.h"
+
+namespace beechhill::service {
+
+class Group {
+ public:
+  virtual ~Group() = default;
+  virtual admin::Group calls() = 0;                                      // for the operators' door
+  virtual void reload(const config::OperatorSettings& settings) = 0;     // takes over keys
+  virtual void say_good_bye() = 0;                                       // at the process's end
+};
+
+struct GroupParts {  // must outlive the group
+  runtime::Scheduler& scheduler;
+  const config::Config& config;
+  const config::OperatorSettings& settings;
+  proxy::DecisionActor& decisions;
+  handover::OrderBox& orders;
+  const proxy::Telemetry& telemetry;
+  std::function<bool()> ending;
+};
+// Its actors are spawned. Null where it is off. Throws std::exception that says what is wrong.
+std::unique_ptr<Group> join_group(const GroupParts& parts);
+
+}  // namespace beechhill::service
--- /dev/null
+++ b/src/serve/no_group.cpp
@@ -0,0 +1,7 @@
+#include "serve/group.h"
+
+namespace beechhill::service {
+
+std::unique_ptr<Group> join_group(const GroupParts&) { return nullptr; }  // the operator file's reader has refused anything else
+
+}  // namespace beechhill::service
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -19,6 +19,7 @@
 #include "proxy/log.h"
 #include "proxy/peer_actor.h"
 #include "proxy/pool_config_actor.h"
+#include "serve/group.h"
 #include "snapshot/keeper.h"
 
 namespace beechhill::service {
@@ -98,20 +99,22 @@
   }
 }
 
-runtime::Task<> tend(runtime::Scheduler& scheduler, FrontDoor& door) {
+runtime::Task<> tend(runtime::Scheduler& scheduler, FrontDoor& door, const std::unique_ptr<Group>& group) {
   co_await door.tend();
+  if (group) group->say_good_bye();
   log::info("ended");
   scheduler.stop();
 }
 
 // Of a new configuration only discovery's address is taken over, of a new operator file the log's level; a faulty
 // one changes nothing.
-void reload(WatchBox& watch, const std::string& operator_file) {
+void reload(WatchBox& watch, const std::string& operator_file, Group* group) {
   try {
     const sockaddr_in discovery = config::reload_config().discovery;
     const config::OperatorSettings settings = config::load_operator(operator_file);
     if (!watch.post(MoveWatch{discovery})) return log_lost("reload");
     log::set_level(settings.log.level);
+    if (group) group->reload(settings);
     const std::string address = net::to_string(discovery);
     log::info("configuration_read", {{"discovery", std::string_view(address)}});
   } catch (const std::exception& error) {
@@ -120,7 +123,8 @@
 }
 
 runtime::Task<> heed_signals(runtime::Scheduler& scheduler, net::Fd signals, FrontDoor& door,
-                             handover::HandoverActor& handover, WatchBox& watch, const std::string& operator_file) {
+                             handover::HandoverActor& handover, WatchBox& watch, const std::string& operator_file,
+                             const std::unique_ptr<Group>& group) {
   runtime::IoSource io(scheduler, signals.get());
   bool ending = false;
   for (;;) {
@@ -130,7 +134,7 @@
       wait.readable(io);
       co_await wait;
     } else if (info.ssi_signo == SIGHUP) {
-      reload(watch, operator_file);
+      reload(watch, operator_file, group.get());
     } else if (!std::exchange(ending, true)) {
       const bool succeeded = handover.succeeded();
       log::info("ending", {{"succeeded", succeeded}});
@@ -180,7 +184,7 @@
   const runtime::TimePoint patience = runtime::Clock::now() + kHearDiscovery;
   const bool patient = folder && folder->others().alive > 0;
   const auto has_list = [&] {
-    return decisions.has_list() && (!patient || decisions.heard() || runtime::Clock::now() >= patience);
+    return decisions.has_list() && decisions.may_serve() && (!patient || decisions.heard() || runtime::Clock::now() >= patience);
   };
   FrontDoor door(scheduler, decisions.inbox(), config, telemetry, bodies, shares.front(), has_list, before.drained);
   const auto look = [&](const handover::Folder::Others& others) {
@@ -196,15 +200,17 @@
   scheduler.spawn(decisions.run());
   scheduler.spawn(pool_config.run(decisions.inbox()));
   scheduler.spawn(door.run());
-  scheduler.spawn(tend(scheduler, door));
+  const std::unique_ptr<Group> group =
+      join_group({scheduler, config, settings, decisions, handover.inbox(), telemetry, [&door] { return door.ending(); }});
+  scheduler.spawn(tend(scheduler, door, group));
   std::optional<admin::AdminDoor> operators;
   if (config.admin) {
     operators.emplace(scheduler, *config.admin, decisions.inbox(), handover.inbox(), telemetry, config.named.classes,
-                      [&] { return door.serving() && handover.told_ready(); });
+                      [&] { return door.serving() && handover.told_ready(); }, group ? group->calls() : admin::Group{});
     scheduler.spawn(operators->run());
   }
   scheduler.spawn(
-      heed_signals(scheduler, std::move(signals), door, handover, pool_config.inbox(), operator_file));
+      heed_signals(scheduler, std::move(signals), door, handover, pool_config.inbox(), operator_file, group));
   const std::string address = net::to_string(door.address());
   const std::string admin = operators ? net::to_string(operators->address()) : "none";
   log::info("serving", {{"address", std::string_view(address)},
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,273 @@
+// Membership: the state machine over a simulated network, and what proves where a datagram comes from.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+
+#include "emulator/talk.h"
+#include "membership/gate.h"
+#include "membership/wire.h"
+
+namespace beechhill::test {
+namespace {
+
+using namespace std::chrono_literals;
+using emulator::TalkSpec;
+using emulator::TalkWorld;
+using membership::Channel;
+using membership::Gate;
+using membership::State;
+
+TalkSpec spec(std::uint32_t members, std::uint64_t seed = 1) {
+  TalkSpec s;
+  s.members = members;
+  s.seed = seed;
+  return s;
+}
+
+State held(const TalkWorld& w, std::size_t by, std::size_t other) { return w.swim(by).members().at(TalkWorld::name_of(other)).rumour.state; }
+
+bool agree_within(TalkWorld& w, Duration most) {
+  for (const Time end = w.now() + most; w.now() < end && !w.agreed();) w.run(100ms);
+  return w.agreed();
+}
+
+TEST(Membership, AllFindEachOtherFromTwoSeeds) {
+  for (const std::uint32_t n : {2u, 3u, 40u}) {
+    TalkWorld w(spec(n));
+    EXPECT_TRUE(agree_within(w, n > 3 ? 40s : 10s)) << n;
+  }
+}
+
+TEST(Membership, DeadLeftAndRestartedAreDifferentThings) {
+  TalkWorld w(spec(8));
+  ASSERT_TRUE(agree_within(w, 10s));
+  w.kill(5);
+  w.leave(6);
+  ASSERT_TRUE(agree_within(w, 40s));
+  for (std::size_t i = 0; i < 5; ++i) {
+    EXPECT_EQ(held(w, i, 5), State::kDead);
+    EXPECT_EQ(held(w, i, 6), State::kLeft);
+  }
+  EXPECT_EQ(w.books().false_deaths, 0u);
+  w.kill(7);
+  w.start(7);  // before anybody noticed
+  w.start(5);
+  w.run(20s);
+  EXPECT_TRUE(w.agreed() && held(w, 0, 7) == State::kAlive);
+  EXPECT_EQ(w.books().restarts_seen, 2u * 6);  // each of the others saw each once
+}
+
+TEST(Membership, OneThatWakesLearnsThatItWasDeclaredDeadBeforeItIsSure) {
+  TalkWorld w(spec(6));
+  ASSERT_TRUE(agree_within(w, 10s));
+  w.stop(3);
+  ASSERT_TRUE(agree_within(w, 60s));
+  EXPECT_EQ(held(w, 0, 3), State::kDead);
+  const std::uint64_t deaths = w.swim(3).deaths();
+  w.go_on(3);
+  EXPECT_FALSE(w.swim(3).sure());
+  for (int i = 0; i < 1000 && !w.swim(3).sure(); ++i) w.run(1ms);
+  EXPECT_TRUE(w.swim(3).sure());
+  EXPECT_EQ(w.swim(3).deaths(), deaths + 1);
+  EXPECT_TRUE(agree_within(w, 10s));
+}
+
+TEST(Membership, OneThatWakesCutOffIsNotSure) {
+  TalkWorld w(spec(6));
+  ASSERT_TRUE(agree_within(w, 10s));
+  w.stop(3);
+  w.run(30s);
+  w.cut([](std::size_t from, std::size_t to) { return from != 3 && to != 3; });
+  w.go_on(3);
+  w.run(60s);
+  EXPECT_FALSE(w.swim(3).sure());
+}
+
+TEST(Membership, LossAloneKillsNobody) {
+  TalkSpec s = spec(30);
+  s.loss = 0.15, s.doubled = 0.1, s.drift = 0.01;
+  TalkWorld w(s);
+  ASSERT_TRUE(agree_within(w, 60s));
+  w.run(600s);
+  EXPECT_EQ(w.books().false_deaths, 0u);
+}
+
+// One that gets the processor a third of the time blames itself, not those whose answers it reads late.
+TEST(Membership, OneThatIsSlowBlamesItself) {
+  TalkWorld w(spec(12));
+  ASSERT_TRUE(agree_within(w, 10s));
+  unsigned slowness = 0;
+  for (int i = 0; i < 100; ++i) {
+    w.stop(11);
+    w.run(1400ms);
+    w.go_on(11);
+    w.run(100ms);
+    slowness = std::max(slowness, w.swim(11).slowness());
+  }
+  EXPECT_GT(slowness, 0u);
+  EXPECT_LE(w.books().false_deaths, 11u);  // at most the slow one, once
+}
+
+TEST(Membership, AHealedSplitIsFound) {
+  TalkWorld w(spec(20));
+  ASSERT_TRUE(agree_within(w, 10s));
+  w.cut([](std::size_t a, std::size_t b) { return (a < 7) == (b < 7); });
+  w.run(60s);
+  EXPECT_EQ(held(w, 0, 19), State::kDead);
+  EXPECT_EQ(held(w, 19, 0), State::kDead);
+  w.cut({});
+  EXPECT_TRUE(agree_within(w, 60s));
+}
+
+TEST(Membership, OnePathThatIsCutIsGoneRound) {
+  TalkWorld w(spec(6));
+  ASSERT_TRUE(agree_within(w, 10s));
+  w.cut([](std::size_t a, std::size_t b) { return a + b != 1; });  // the first two, both ways
+  w.run(300s);
+  EXPECT_EQ(w.books().false_deaths, 0u);
+}
+
+// Drawn faults; once they are over, all that run know each other again.
+TEST(Membership, DrawnFaultsLeaveNobodyBehind) {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    std::mt19937_64 dice(seed);
+    TalkSpec s = spec(3 + static_cast<std::uint32_t>(dice() % 25), seed);
+    s.loss = 0.01 * static_cast<double>(dice() % 20), s.doubled = 0.05, s.drift = 0.01;
+    TalkWorld w(s);
+    w.run(10s);
+    for (int turn = 0; turn < 6; ++turn) {
+      const std::size_t i = dice() % s.members;
+      const std::size_t half = 1 + dice() % (s.members - 1);
+      switch (dice() % 5) {
+        case 0: w.kill(i); break;
+        case 1: if (!w.running(i)) w.start(i); break;
+        case 2: if (w.running(i)) w.stop(i); break;
+        case 3: w.cut([half](std::size_t a, std::size_t b) { return (a < half) == (b < half); }); break;
+        case 4: w.cut([half](std::size_t a, std::size_t b) { return a < half || b >= half; }); break;  // one way
+      }
+      w.run(std::chrono::milliseconds(dice() % 20'000));
+    }
+    w.cut({});
+    for (std::size_t i = 0; i < s.members; ++i) w.running(i) ? void() : (w.go_on(i), w.running(i) ? void() : w.start(i));
+    EXPECT_TRUE(agree_within(w, 200s)) << "seed " << seed << " members " << s.members;
+  }
+}
+
+TEST(MembershipWire, ReadsWhatItWroteAndNothingElse) {
+  membership::Message m{membership::Kind::kPingFor, 77, "member-9", 123, {{"a", "127.0.0.1:1", State::kSuspect, 4, 9, "b"}, {"c", "", State::kLeft, 0, 0, ""}}};
+  const std::string good = membership::encode(m);
+  const auto read = membership::decode(good);
+  ASSERT_TRUE(read && read->kind == m.kind && read->number == 77 && read->about == m.about && read->rumours == m.rumours);
+  for (std::size_t i = 0; i < good.size(); ++i) EXPECT_FALSE(membership::decode(good.substr(0, i)));
+  EXPECT_FALSE(membership::decode(good + "x"));
+  std::mt19937 random(3);
+  for (int i = 0; i < 100'000; ++i) {
+    std::string bad = good;
+    for (unsigned n = 1 + random() % 3; n > 0; --n) bad[random() % bad.size()] = static_cast<char>(random());
+    const auto got = membership::decode(bad);
+    EXPECT_TRUE(!got || membership::decode(membership::encode(*got)));
+  }
+}
+
+membership::Keys keys(char digit) { return membership::read_keys(std::string(64, digit)); }
+
+struct Two {  // members with a gate each, and what is on its way between them
+  Two(membership::Keys a, membership::Keys b) : one(std::move(a), "one", 11, 1), two(std::move(b), "two", 22, 2) {}
+  // The payloads that arrive at `to`, with hellos carried both ways.
+  std::vector<std::string> pass(Gate& from, Gate& to, std::string datagram) {
+    std::vector<std::string> arrived;
+    std::vector<std::string> going{std::move(datagram)}, coming;
+    for (int i = 0; i < 4; ++i) {
+      for (const std::string& d : std::exchange(going, {})) {
+        const Gate::Result r = to.open("from", d);
+        if (r.opened) arrived.push_back(r.opened->payload);
+        coming.insert(coming.end(), r.replies.begin(), r.replies.end());
+      }
+      for (const std::string& d : std::exchange(coming, {})) {
+        const Gate::Result r = from.open("to", d);
+        going.insert(going.end(), r.replies.begin(), r.replies.end());
+      }
+    }
+    return arrived;
+  }
+  Gate one, two;
+};
+
+using Texts = std::vector<std::string>;
+
+TEST(MembershipGate, LetsMembersInAfterTheyShowATicket) {
+  Two t(keys('a'), keys('a'));
+  EXPECT_EQ(t.pass(t.one, t.two, t.one.seal("to", Channel::kSwim, "x")), Texts{"x"});
+  EXPECT_EQ(t.pass(t.one, t.two, t.one.seal("to", Channel::kSwim, "y")), Texts{"y"});
+}
+
+TEST(MembershipGate, RefusesOtherKeysDamageAndItself) {
+  Two t(keys('a'), keys('b'));
+  EXPECT_TRUE(t.pass(t.one, t.two, t.one.seal("to", Channel::kSwim, "x")).empty());
+  EXPECT_STREQ(t.two.open("f", t.one.seal("to", Channel::kSwim, "x")).refused, "key");
+  Two same(keys('a'), keys('a'));
+  std::string good = same.one.seal("to", Channel::kSwim, "x");
+  EXPECT_STREQ(same.one.open("f", good).refused, "name");
+  for (std::size_t i = 0; i < good.size(); ++i) {
+    std::string bad = good;
+    bad[i] = static_cast<char>(bad[i] ^ 4);
+    EXPECT_STREQ(same.two.open("f", bad).refused, "key");
+  }
+  EXPECT_STREQ(same.two.open("f", std::string(2'000, 'x')).refused, "size");
+}
+
+TEST(MembershipGate, RefusesWhatWasCaughtAndSentAgain) {
+  Two t(keys('a'), keys('a'));
+  t.pass(t.one, t.two, t.one.seal("to", Channel::kSwim, "x"));
+  const std::string caught = t.one.seal("to", Channel::kSwim, "y"), later = t.one.seal("to", Channel::kSwim, "z");
+  EXPECT_TRUE(t.two.open("from", later).opened && t.two.open("from", caught).opened);  // out of order is no harm
+  EXPECT_STREQ(t.two.open("from", caught).refused, "again");
+  EXPECT_STREQ(t.two.open("from", later).refused, "again");
+  // A receiver that starts anew knows no numbers, but drew no such ticket.
+  Gate reborn(keys('a'), "two", 23, 3);
+  EXPECT_STREQ(reborn.open("from", caught).refused, "ticket");
+  // A sender's earlier life is over once the next has shown its ticket.
+  Gate next(keys('a'), "one", 12, 4);
+  EXPECT_EQ(t.pass(next, t.two, next.seal("to", Channel::kSwim, "new")), Texts{"new"});
+  EXPECT_STREQ(t.two.open("from", t.one.seal("to", Channel::kSwim, "old")).refused, "ticket");
+  // And to another receiver it says nothing.
+  Gate third(keys('a'), "three", 33, 5);
+  EXPECT_STREQ(third.open("from", later).refused, "ticket");
+}
+
+TEST(MembershipGate, ChangesItsKeyWhileAllRun) {
+  Two t(keys('a'), keys('a'));
+  const auto both = [](char first, char second) { return membership::read_keys(std::string(64, first) + "\n" + std::string(64, second) + "\n"); };
+  const auto passes = [&t] { return t.pass(t.one, t.two, t.one.seal("to", Channel::kSwim, "x")).size() + t.pass(t.two, t.one, t.two.seal("to", Channel::kSwim, "x")).size(); };
+  EXPECT_EQ(passes(), 2u);
+  t.one.change_keys(both('a', 'b'));
+  EXPECT_EQ(passes(), 2u);
+  t.two.change_keys(both('b', 'a'));
+  EXPECT_EQ(passes(), 2u);
+  t.one.change_keys(keys('b'));
+  EXPECT_EQ(passes(), 2u);
+  t.two.change_keys(keys('b'));
+  EXPECT_EQ(passes(), 2u);
+  EXPECT_THROW(membership::read_keys("12"), std::invalid_argument);
+  EXPECT_THROW(membership::read_keys(""), std::invalid_argument);
+  EXPECT_THROW(membership::read_keys(std::string(64, 'a') + "\n" + std::string(64, 'b') + "\n" + std::string(64, 'c')), std::invalid_argument);
+}
+
+TEST(MembershipGate, PutsPartsTogetherInAnyOrder) {
+  std::string whole;
+  for (int i = 0; i < 20'000; ++i) whole += static_cast<char>(i * 7);
+  auto parts = membership::split(5, whole);
+  ASSERT_GT(parts.size(), 10u);
+  std::shuffle(parts.begin(), parts.end(), std::mt19937(1));
+  membership::Assembler a;
+  for (std::size_t i = 0; i + 1 < parts.size(); ++i) EXPECT_FALSE(a.add("m", parts[i])) << i;
+  EXPECT_FALSE(a.add("m", parts.front()));  // twice
+  EXPECT_EQ(a.add("m", parts.back()), whole);
+  EXPECT_FALSE(a.add("m", "short"));
+  EXPECT_TRUE(membership::split(6, std::string(400'000, 'x')).empty());
+  EXPECT_EQ(a.add("m", membership::split(7, "").front()), "");
+}
+
+}  // namespace
+}  // namespace beechhill::test
