--- a/src/emulator/works.cpp
+++ b/src/emulator/works.cpp
@@ -136,6 +136,15 @@
   return found;
 }
 
+bool WorksWorld::whole() const {
+  const auto lead = leader();
+  if (!lead) return false;
+  std::size_t known = 0;
+  for (const maintenance::Voter& v : works(*lead).voters())
+    for (std::size_t i = 0; i < spec_.voters; ++i) known += proxy_name(i) == v.name && running(i) && works(i).votes() && proxies_[i].generation == v.generation;
+  return known == spec_.voters && works(*lead).voters().size() == spec_.voters;
+}
+
 void WorksWorld::run(Duration length) {
   for (const Time end = now_ + length; now_ < end;) {
     now_ += kStep;
@@ -373,10 +382,10 @@
         break;
       case 6:
         // One at a time: with most disks gone nothing could be known.
-        if (i < s.voters && down.empty()) did(fmt::format("kill {} and wipe its disk", i)), w.kill(i), w.wipe(i), down.insert(i);
+        if (i < s.voters && w.whole()) did(fmt::format("kill {} and wipe its disk", i)), w.kill(i), w.wipe(i), down.insert(i);
         break;
       case 7:
-        if (i < s.voters && down.empty() && stopped.empty()) {
+        if (i < s.voters && w.whole()) {
           did(fmt::format("kill {} and put its disk back by some seconds", i));
           w.keep_copy(i);
           w.run(3s);
--- a/src/emulator/works.h
+++ b/src/emulator/works.h
@@ -53,6 +53,7 @@
   // Staff's word, at the proxy of that place.
   void order(std::size_t at, maintenance::Command command);
   std::optional<std::size_t> leader() const;  // that leads, as far as it knows, and runs
+  bool whole() const;  // all voters run and vote: one of them may lose its storage
   const maintenance::Works& works(std::size_t i) const { return *proxies_[i].works; }
   bool running(std::size_t i) const { return proxies_[i].works && !proxies_[i].stopped; }
 
--- a/src/lab/talk.cpp
+++ b/src/lab/talk.cpp
@@ -130,9 +130,10 @@
     const std::size_t before = w.taken_out();
     const Time died = w.now();
     w.kill(lead);
+    w.run(2s);
+    w.start(lead);
     while (w.now() - died < 120s && !(w.leader() && w.taken_out() > before + s.bounds.most_out)) w.run(100ms);
     to_go_on = w.now() - died;
-    w.start(lead);
   }
   const double took = to_s(w.now() - from), shortest = std::ceil(backends / static_cast<double>(s.bounds.most_out)) * to_s(s.work + s.warm);
   fmt::print("{} backends, {} at a time, {} proxies: {:.1f} s, {:.2f} times the shortest; kept back {} of {} calls; {} broke a bound{}\n", backends,
--- a/src/maintenance/agreement.cpp
+++ b/src/maintenance/agreement.cpp
@@ -522,6 +522,13 @@
   return all;
 }
 
+std::uint32_t Agreement::coming(const std::string& name) const {
+  std::uint32_t newest = 0;
+  for (const Server& s : servers_in(impl_->r.configuration))
+    if (const auto v = voter_from(s.address); v && v->name == name && s.role != RAFT_VOTER) newest = std::max(newest, v->generation);
+  return newest;
+}
+
 std::vector<std::string> Agreement::unfinished() const {
   std::map<std::string, int> counts;
   std::vector<std::string> names;
--- a/src/maintenance/agreement.h
+++ b/src/maintenance/agreement.h
@@ -69,6 +69,8 @@
   // Where this one leads: a voter that has lost its storage takes part again, as its next generation, step by step. Returns that
   // generation, or 0 where another change is under way or the name is no voter's.
   std::uint32_t readmit(const std::string& name);
+  // The generation of that name which is on its way in; 0: none is.
+  std::uint32_t coming(const std::string& name) const;
   std::vector<std::string> unfinished() const;  // names that readmit() is not through with
 
  private:
--- a/src/maintenance/works.cpp
+++ b/src/maintenance/works.cpp
@@ -96,7 +96,8 @@
 // ---- A proxy's lease
 
 void Works::ask_lease(Time now) {
-  ask_at_ = now + beat();
+  // While machines are on their way out each asking is what the others wait for.
+  ask_at_ = now + (rights_.empty() ? beat() : beat() / 4);
   std::erase_if(asks_, [&](const auto& a) { return now > a.second + settings_.lease; });
   if (leader_.empty() || asks_.size() > 2) {  // no answer from that one: the next
     leader_ = settings_.voters[next_voter_++ % settings_.voters.size()];
@@ -299,8 +300,11 @@
     leader_ = leader;
     return;
   }
-  if (lost)
-    if (const std::uint32_t generation = agreement_->readmit(from)) say(from, word(Word::kReadmitted).number(generation).bytes());
+  if (lost) {
+    // Told at each asking: the word may be lost on its way, and the change waits for it.
+    if (agreement_->coming(from) == 0) agreement_->readmit(from);
+    if (const std::uint32_t generation = agreement_->coming(from)) say(from, word(Word::kReadmitted).number(generation).bytes());
+  }
   if (!seen_.contains(from) && seen_.size() >= kMostRoster) return;
   Seen& s = seen_[from];
   if (s.life != life) {
--- a/src/maintenance/works.h
+++ b/src/maintenance/works.h
@@ -89,6 +89,7 @@
 
   bool leads() const { return agreement_ && agreement_->leads(); }
   const Ledger& ledger() const { return ledger_; }
+  std::vector<Voter> voters() const { return agreement_ ? agreement_->voters() : std::vector<Voter>{}; }
   bool votes() const { return agreement_ != nullptr; }
   bool halted() const { return agreement_ && agreement_->halted(); }
   bool rolled_back() const { return agreement_ && agreement_->rolled_back(); }
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -1,6 +1,7 @@
 #include "membership/swim.h"
 
 #include <algorithm>
+#include <bit>
 #include <cmath>
 #include <utility>
 
@@ -123,7 +124,9 @@
       break;
   }
   // Whoever holds other news than this one is asked for them, now and then; a newcomer at once.
-  if (m.kind == Kind::kAck && m.digest != digest_ && (newcomer || periods_ % kSyncEvery == 0)) ask_list(address, {}, from, out);
+  // While many start together nobody knows all yet: a young one asks again, after 1, 2, 4, 8 and 16 periods.
+  const bool young = periods_ < kSyncEvery && std::has_single_bit(periods_);
+  if (m.kind == Kind::kAck && m.digest != digest_ && (newcomer || young || periods_ % kSyncEvery == 0)) ask_list(address, {}, from, out);
   reckon();
 }
 
@@ -261,6 +264,10 @@
 }
 
 void Swim::begin_probe(Time now, std::vector<Outgoing>& out) {
+  // Whom this one suspects it tells so itself: on a bad network that is what saves them.
+  std::size_t told = 0;
+  for (const auto& [name, s] : suspicions_)
+    if (s.by.contains(name_) && told++ < kHelpers) send(members_.at(name).rumour.address, Message{Kind::kPing, next_number_++, {}, 0, {}}, name, out);
   // Round by round through all, each round in an order of its own: everybody is probed within two rounds.
   while (!round_.empty() && (!members_.contains(round_.back()) || !is_up(members_.at(round_.back()).rumour.state))) round_.pop_back();
   if (round_.empty()) {
