--- a/src/emulator/works.cpp
+++ b/src/emulator/works.cpp
@@ -184,7 +184,7 @@
   p.works->tick(now_);
   if (p.votes && (p.works->rolled_back() || !p.storage)) {
     // As the program does: what cannot be relied on is set aside, and the voter waits to be let in anew.
-    if (p.storage) p.storage.reset(), make(i);
+    if (p.storage) p.works.reset(), p.storage.reset(), make(i);
     if (const auto generation = p.works->readmitted()) {
       p.storage = std::make_unique<maintenance::MemoryStorage>();
       p.storage->lazy = spec_.disk > Duration{0};
--- a/src/emulator/works.h
+++ b/src/emulator/works.h
@@ -90,8 +90,8 @@
 
  private:
   struct Proxy {
-    std::unique_ptr<maintenance::Works> works;
     std::unique_ptr<maintenance::MemoryStorage> storage, copy;
+    std::unique_ptr<maintenance::Works> works;  // after its storage, which it borrows
     std::uint32_t generation = 1, copy_generation = 1;
     bool votes = false, stopped = false, ending = false;
     Time stopped_at{0};
