--- a/src/membership/talk_actor.cpp
+++ b/src/membership/talk_actor.cpp
@@ -48,7 +48,7 @@
       if (listener_.woke && !listener_.woke(Woke{})) proxy::log_lost("woke");
     }
     send(out);
-    take_datagrams();
+    const bool more = take_datagrams();
     take_orders();
     if (now() >= swim_.due()) {
       swim_.tick(now(), out);
@@ -56,16 +56,17 @@
     }
     tell_changes();
     runtime::Wait wait(scheduler_);
-    wait.readable(socket_.io()).notified(inbox_.arrived()).until(proxy::to_point(swim_.due()));
+    // What is left in the socket is not told of again.
+    wait.readable(socket_.io()).notified(inbox_.arrived()).until(proxy::to_point(more ? now() : swim_.due()));
     co_await wait;
   }
 }
 
-void TalkActor::take_datagrams() {
+bool TalkActor::take_datagrams() {
   for (int i = 0; i < kAtOnce; ++i) {
     sockaddr_in from{};
     const auto datagram = socket_.take(from);
-    if (!datagram) return;
+    if (!datagram) return false;
     const std::string address = net::to_string(from);
     const Gate::Result got = gate_.open(address, *datagram);
     for (const std::string& reply : got.replies) socket_.send(from, reply);
@@ -81,6 +82,7 @@
       if (whole) listener_.heard(Heard{got.opened->from, got.opened->channel, std::move(*whole)});
     }
   }
+  return true;
 }
 
 void TalkActor::take_orders() {
--- a/src/membership/talk_actor.h
+++ b/src/membership/talk_actor.h
@@ -51,7 +51,7 @@
   std::uint64_t refused() const { return refused_; }  // datagrams
 
  private:
-  void take_datagrams();
+  bool take_datagrams();  // whether more may be there
   void take_orders();
   void send(std::vector<Outgoing>& out);
   void send_to(const std::string& address, Channel channel, std::string payload);
