--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -9,6 +9,7 @@
 #include "lab/fleet/plan.h"
 #include "lab/sockets.h"
 #include "proxy_test.h"
+#include "rig_test.h"
 
 namespace beechhill::test {
 namespace {
@@ -70,10 +71,6 @@
   return emulator::read_scenario(config::parse_toml(text, "day"), "day");
 }
 
-std::string fault(const std::string& kind, const std::string& at, const std::string& length, const std::string& more) {
-  return "[[fault]]\nkind = \"" + kind + "\"\nat = \"" + at + "\"\nfor = \"" + length + "\"\n" + more + "\n";
-}
-
 lab::SocketRun play(const Scenario& s) {
   lab::SocketRun run = lab::play_on_sockets(s, PROXY_PROGRAM);
   std::fprintf(stderr, "asked %llu goodput %.3f excused %llu lists %u\n%s", static_cast<unsigned long long>(run.asked),
--- a/tests/group_test.cpp
+++ b/tests/group_test.cpp
@@ -8,6 +8,7 @@
 #include "maintenance/disk_storage.h"
 #include "maintenance/staff.h"
 #include "proxy_test.h"
+#include "rig_test.h"
 
 namespace beechhill::test {
 namespace {
@@ -61,10 +62,6 @@
   return emulator::read_scenario(config::parse_toml(text, "day"), "day");
 }
 
-std::string fault(const std::string& kind, const std::string& at, const std::string& length, const std::string& more) {
-  return "[[fault]]\nkind = \"" + kind + "\"\nat = \"" + at + "\"\nfor = \"" + length + "\"\n" + more + "\n";
-}
-
 // `all`: every request of staff has ended. Else each that is open says why.
 lab::SocketRun play(const emulator::Scenario& s, bool all = true) {
   lab::SocketRun run = lab::play_on_sockets(s, PROXY_PROGRAM);
@@ -122,25 +119,11 @@
 
 // ---- A voter's disk
 
-struct Folder {
-  Folder() {
-    char name[] = "/tmp/group_test_XXXXXX";
-    assert(::mkdtemp(name));
-    path = name;
-  }
-  ~Folder() { std::filesystem::remove_all(path); }
-  std::string file() const { return path + "/beechhill-v.agreement"; }
-  std::string path;
-};
+const std::string kFile = "beechhill-v.agreement";
 
 using maintenance::DiskStorage;
 using maintenance::Record;
 
-std::string text_of(const std::string& file) {
-  std::ifstream in(file, std::ios::binary);
-  return {std::istreambuf_iterator<char>(in), {}};
-}
-
 void wait_durable(DiskStorage& s) {
   const auto end = Clock::now() + kPatience;
   while (s.durable() < s.written()) assert(Clock::now() < end && !s.failed()), ::usleep(1000);
@@ -191,10 +174,10 @@
     s->write(entries(0, 1)), s->write(entries(0, 1));
     wait_durable(*s);
   }
-  const std::string good = text_of(folder.file());
+  const std::string good = contents(folder.file(kFile));
   const auto with = [&](const std::string& text) {
-    std::filesystem::remove(folder.file() + ".aside");
-    std::ofstream(folder.file(), std::ios::binary | std::ios::trunc) << text;
+    std::filesystem::remove(folder.file(kFile) + ".aside");
+    std::ofstream(folder.file(kFile), std::ios::binary | std::ios::trunc) << text;
     const auto s = DiskStorage::open(folder.path, "v");
     return s ? static_cast<int>(s->image().entries.size()) : -1;
   };
@@ -202,7 +185,7 @@
   assert(with(good.substr(0, good.size() - 5)) == 2);
   std::string damaged = good;
   damaged[good.size() / 2] ^= 8;  // in the second of four records
-  assert(with(damaged) == -1 && std::filesystem::exists(folder.file() + ".aside"));
+  assert(with(damaged) == -1 && std::filesystem::exists(folder.file(kFile) + ".aside"));
   for (std::size_t i = 0; i < good.size(); i += 3) {
     damaged = good;
     damaged[i] ^= 1;
@@ -214,8 +197,8 @@
 void a_disk_that_fails_is_given_up() {
   const Folder folder;
   const auto s = DiskStorage::found(folder.path, {"v", 1}, {entries(1, 1)});
-  std::filesystem::remove(folder.file());
-  std::filesystem::create_directory(folder.file());  // cannot be opened to write
+  std::filesystem::remove(folder.file(kFile));
+  std::filesystem::create_directory(folder.file(kFile));  // cannot be opened to write
   s->write(entries(0, 1));
   const auto end = Clock::now() + kPatience;
   while (!s->failed()) assert(Clock::now() < end), ::usleep(1000);
--- a/tests/proxy_test.h
+++ b/tests/proxy_test.h
@@ -16,6 +16,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -126,16 +127,29 @@
   net::Fd fd_;
 };
 
+struct Folder {  // of the test's own, gone with it
+  Folder() {
+    char name[] = "/tmp/proxy_folder_XXXXXX";
+    assert(::mkdtemp(name));
+    path = name;
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+  std::string file(const std::string& name) const { return path + "/" + name; }
+  std::string path;
+};
+
+inline std::string contents(const std::string& file) {
+  std::ifstream in(file, std::ios::binary);
+  return {std::istreambuf_iterator<char>(in), {}};
+}
+
 // What the processes of one proxy share over an upgrade, held by the platform: here, the test.
 struct Shared {
-  Shared() {
-    char path[] = "/tmp/proxy_shared_XXXXXX";
-    assert(::mkdtemp(path));
-    folder = path;
-  }
-  ~Shared() { std::filesystem::remove_all(folder); }
   Door socket;
-  std::string folder;
+  const Folder kept;
+  const std::string folder = kept.path;
 };
 
 // The program under test, with a discovery that has taken its watch.
--- a/tests/snapshot_test.cpp
+++ b/tests/snapshot_test.cpp
@@ -17,16 +17,7 @@
 using snapshot::Row;
 using snapshot::Snapshot;
 
-struct Folder {
-  Folder() {
-    char name[] = "/tmp/snapshot_test_XXXXXX";
-    assert(::mkdtemp(name));
-    path = name;
-  }
-  ~Folder() { std::filesystem::remove_all(path); }
-  std::string file() const { return path + "/beechhill-t.snapshot"; }
-  std::string path;
-};
+const std::string kFile = "beechhill-t.snapshot";
 
 Snapshot sample() { return {"t", "z/0/ver", 7, 1'000'000ms, {{"s-1", 5ms, 999'000ms, {12.25, 0.5, 3, 2}}, {"s \"2\"", 0ms, 1ms, {}}}, {"s-9"}}; }
 
@@ -93,7 +84,7 @@
   assert(found && found->life == 1 && found->rows.size() == 1);
   const auto old = keeper.found(10h);
   assert(old && old->rows.empty() && old->barred.contains("s-7"));  // a ban does not age
-  assert(!std::filesystem::exists(folder.file()) && std::filesystem::exists(folder.file() + ".aside"));
+  assert(!std::filesystem::exists(folder.file(kFile)) && std::filesystem::exists(folder.file(kFile) + ".aside"));
 }
 
 // A disk that hangs, then is full: keep() comes back at once, only the newest is written, and the end does not wait.
@@ -118,7 +109,7 @@
   }
   assert(*calls == 2);
   held->release(4);
-  assert(!std::filesystem::exists(folder.file()));
+  assert(!std::filesystem::exists(folder.file(kFile)));
 }
 
 // Processes of one name, one after another, each killed: before backends of which the first says that it is full and slow.
@@ -156,8 +147,7 @@
   }
   std::string hosts() const { return "[" + host_json("s-1", slow.address()) + "," + host_json("s-2", quick.address()) + "]"; }
   Snapshot left() const {  // what stands there, as far as it is whole
-    std::ifstream in(folder.file());
-    return snapshot::decode(std::string(std::istreambuf_iterator<char>(in), {})).value_or(Snapshot{});
+    return snapshot::decode(contents(folder.file(kFile))).value_or(Snapshot{});
   }
   const Folder folder;
   Door slow, quick;
@@ -167,7 +157,7 @@
 // are the same as none.
 void a_killed_process_remembers() {
   Lives lives(true);
-  const std::string file = lives.folder.file();
+  const std::string file = lives.folder.file(kFile);
   std::ptrdiff_t lost = 0, torn = 0, kept = 0;
   const auto to_slow = [&lives] {
     const std::string went = lives.life(false);
@@ -197,7 +187,7 @@
   }
   Snapshot old = lives.left();
   old.written -= 1h;
-  std::ofstream(lives.folder.file()) << snapshot::encode(old);
+  std::ofstream(lives.folder.file(kFile)) << snapshot::encode(old);
   const Proxy proxy(lives.hosts());
   Wire client = proxy.client();
   const auto ask = [&](const Door& door, const std::string& id) {
@@ -216,7 +206,7 @@
 void is_off_unless_asked_for() {
   Lives lives(false);
   lives.life(false);
-  assert(!std::filesystem::exists(lives.folder.file()));
+  assert(!std::filesystem::exists(lives.folder.file(kFile)));
 }
 
 }  // namespace
