--- a/src/lab/fleet/fleet.cpp
+++ b/src/lab/fleet/fleet.cpp
@@ -43,6 +43,14 @@
     h.broken = run.violations + run.wrong_answers;
     h.broken_text = std::move(run.violation_text);
     if (run.wrong_answers > 0) h.broken_text += fmt::format("{} answers were not the ones to their requests\n", run.wrong_answers);
+    if (run.sent_to_out > 0) h.broken_text += fmt::format("{} calls reached backends that staff had out\n", run.sent_to_out);
+    if (run.most_at_once > s.group.most_out) h.broken_text += fmt::format("{} backends were out at once\n", run.most_at_once);
+    h.broken += run.sent_to_out + (run.most_at_once > s.group.most_out);
+    if (s.group.voters > 0) {
+      h.result["taken_out"] = run.taken_out;
+      h.result["open_requests"] = run.open_requests;
+      h.result["works_ended_s"] = emulator::to_s(run.works_ended);
+    }
     if (run.last_back > Time{0}) h.back = run.last_back;
     return h;
   }
@@ -135,6 +143,9 @@
     fmt::print("{:>12} {:>9.4f} {:>9.4f} {:>7} {:>7.2f} {:>17} {:>17} {:>6} {:>7}\n", s.seed, p.goodput, p.control_goodput,
                in_seconds(p.back.full_after), p.back.worth_lost, fmt::format("{} ({})", p.most_connections, p.control_connections),
                fmt::format("{} ({})", p.most_arrivals, p.control_arrivals), p.most_lists, p.broken);
+    if (s.group.voters > 0)
+      fmt::print("{:>12} taken out and back {}, staff's requests still open {}, the last ended at {:.1f} s\n", "", p.result["taken_out"].asUInt(),
+                 p.result["open_requests"].asUInt(), p.result["works_ended_s"].asDouble());
     std::fflush(stdout);
     rows.push_back(as_row(p, s, o.player.emulated ? o.player.policy.c_str() : "real proxies"));
     if (p.broken > 0) tell_broken(o, s, p);
