Sum what machines show together once, not for each; one blob, one fence, the library's hash

At fault: Ledger::stands_in_way walked all machines for each machine that it was asked of, so that the leader's loop and explain() grew with their square. Room is summed once for each role and asked by zone and cell. Twins: two writers and two readers of a blob, the latter byte by byte, are Writer::blob and Reader::blob; membership's own hash is XXH64, as everywhere here. Derivable: the rights of proxies that a proxy kept are the one fence of its own course; who leads is the agreement's word; Works::held() had no user.

--- a/src/maintenance/agreement.cpp
+++ b/src/maintenance/agreement.cpp
@@ -72,8 +72,6 @@
   return all;
 }
 
-void put_blob(Writer& w, std::string_view t) { w.number(static_cast<std::uint32_t>(t.size())).raw(t); }
-
 }  // namespace
 
 std::optional<Voter> voter_from(std::string_view address) {
@@ -253,7 +251,7 @@
         // More would not pass at once; what is left out is asked for again.
         const unsigned n = std::min<unsigned>(a.n_entries, kMostEntries);
         w.number(a.term).number(a.prev_log_index).number(a.prev_log_term).number(a.leader_commit).number(static_cast<std::uint16_t>(n));
-        for (const Entry& e : entries_in(a.entries, n)) w.number(e.term).number(e.type), put_blob(w, e.data);
+        for (const Entry& e : entries_in(a.entries, n)) w.number(e.term).number(e.type).blob(e.data);
         break;
       }
       case RAFT_IO_APPEND_ENTRIES_RESULT:
@@ -271,7 +269,7 @@
         const raft_install_snapshot& s = m.install_snapshot;
         w.number(s.term).number(s.last_index).number(s.last_term).number(s.conf_index).number(static_cast<std::uint8_t>(s.conf.n));
         for (const Server& server : servers_in(s.conf)) w.text(server.address).number(static_cast<std::uint8_t>(server.role));
-        put_blob(w, text(s.data));
+        w.blob(text(s.data));
         break;
       }
       case RAFT_IO_TIMEOUT_NOW:
@@ -284,13 +282,6 @@
     if (said.size() > kMostOutgoing) said.pop_front();
   }
 
-  static std::string_view blob(Reader& r, std::string& kept) {
-    const auto size = r.number<std::uint32_t>();
-    kept.clear();
-    for (std::uint32_t i = 0; i < size && r.ok(); ++i) kept += r.number<char>();
-    return kept;
-  }
-
   void hear(std::string_view bytes) {
     Reader in(bytes);
     const std::string from = in.text(kLongestAddress), to = in.text(kLongestAddress);
@@ -314,7 +305,6 @@
     }
     raft_message m{};
     m.type = type, m.server_id = id_of(from), m.server_address = from.c_str();
-    std::string data;
     switch (type) {
       case RAFT_IO_APPEND_ENTRIES: {
         raft_append_entries& a = m.append_entries;
@@ -324,7 +314,7 @@
         for (auto n = in.number<std::uint16_t>(); n > 0 && in.ok(); --n) {
           Entry& e = entries.emplace_back();
           e.term = in.number<std::uint64_t>(), e.type = in.number<std::uint16_t>();
-          e.data = blob(in, data);
+          e.data = in.blob();
         }
         if (!in.done() || entries.size() > kMostEntries) return;
         a.entries = entries_from(entries), a.n_entries = static_cast<unsigned>(entries.size());
@@ -356,7 +346,7 @@
           Server& server = servers.emplace_back();
           server.address = in.text(kLongestAddress), server.role = in.number<std::uint8_t>();
         }
-        const std::string_view content = blob(in, data);
+        const std::string_view content = in.blob();
         Ledger probe;
         if (!in.done() || !probe.restore(content)) return;
         set_servers(s.conf, servers);
--- a/src/maintenance/ledger.cpp
+++ b/src/maintenance/ledger.cpp
@@ -239,7 +239,7 @@
   const auto q = requests_.find(c.id);
   const auto m = machines_.find(c.machine);
   if (q == requests_.end() || m == machines_.end()) return "unknown";
-  if (!stands_in_way(q->second, m->second).empty()) return "bound";
+  if (!stands_in_way(q->second, m->second, room(m->second.role)).empty()) return "bound";
   courses_[c.machine] = {c.id, c.machine, next_fence_++, Step::kAnnounced, index_, time_, m->second.born, {}};
   return nullptr;
 }
@@ -328,7 +328,23 @@
   return all;
 }
 
-std::string Ledger::stands_in_way(const Request& q, const Machine& m) const {
+Ledger::Room Ledger::room(Role role) const {
+  Room r;
+  for (const auto& [id, m] : machines_) {
+    if (m.role != role) continue;
+    const auto use = use_.find(m.zone);
+    const double needed = use == use_.end() ? 0 : use->second * m.width;
+    for (Place* p : {&r.whole, &r.zones[m.zone], &r.cells[{m.zone, m.cell}]}) {
+      p->needed += needed;
+      p->out += out(m);
+      if (serves(m)) p->left += m.width, ++p->serving;
+    }
+  }
+  for (const auto& [id, c] : courses_) r.unlisted += !machines_.contains(id);
+  return r;
+}
+
+std::string Ledger::stands_in_way(const Request& q, const Machine& m, const Room& room) const {
   if (!q.open()) return "the request has ended";
   if (!q.approved) return "not approved";
   if (q.held) return "held by staff";
@@ -338,44 +354,23 @@
   if (!q.select.matches(m) || q.done.contains(m.id)) return "not of this request";
   if (const auto off = q.put_off.find(m.id); off != q.put_off.end() && off->second > time_) return m.id + " was called back and is put off";
   if (const auto there = courses_.find(m.id); there != courses_.end()) return m.id + " is in work for " + there->second.request;
-  std::uint32_t own = 0, all = 0, zone = 0, cell = 0;
-  for (const auto& [id, c] : courses_) {
-    const auto other = machines_.find(id);
-    own += c.request == q.id;
-    if (other == machines_.end()) {
-      ++all;  // gone from the list, and not done: it counts everywhere
-      ++zone, ++cell;
-      continue;
-    }
-    if (other->second.role != m.role) continue;
-    ++all;
-    zone += other->second.zone == m.zone;
-    cell += other->second.zone == m.zone && other->second.cell == m.cell;
-  }
+  const auto own = std::count_if(courses_.begin(), courses_.end(), [&q](const auto& c) { return c.second.request == q.id; });
   if (own >= q.at_once) return "at_once: " + std::to_string(own) + " of this request are out";
-  if (all >= bounds_.most_out) return "most_out: " + std::to_string(all) + " are out";
-  if (zone >= bounds_.most_out_zone) return "most_out_zone: " + std::to_string(zone) + " are out in " + m.zone;
-  if (cell >= bounds_.most_out_cell) return "most_out_cell: " + std::to_string(cell) + " are out in " + m.cell;
-  double whole = 0, left = 0, zone_whole = 0, zone_left = 0, needed = 0, zone_needed = 0;
-  std::uint32_t in_zone = 0, in_cell = 0;
-  for (const auto& [id, other] : machines_) {
-    if (other.role != m.role) continue;
-    const auto use = use_.find(other.zone);
-    const double u = use == use_.end() ? 0 : use->second;
-    const bool stays = other.id != m.id && other.up && other.warm && !out(other);
-    const bool here = other.zone == m.zone;
-    whole += other.width, needed += u * other.width;
-    if (here) zone_whole += other.width, zone_needed += u * other.width;
-    if (!stays) continue;
-    left += other.width;
-    if (here) zone_left += other.width, ++in_zone, in_cell += other.cell == m.cell;
-  }
+  const Place& zone = room.zones.at(m.zone);
+  const Place& cell = room.cells.at({m.zone, m.cell});
+  const std::uint32_t all_out = room.whole.out + room.unlisted, zone_out = zone.out + room.unlisted, cell_out = cell.out + room.unlisted;
+  if (all_out >= bounds_.most_out) return "most_out: " + std::to_string(all_out) + " are out";
+  if (zone_out >= bounds_.most_out_zone) return "most_out_zone: " + std::to_string(zone_out) + " are out in " + m.zone;
+  if (cell_out >= bounds_.most_out_cell) return "most_out_cell: " + std::to_string(cell_out) + " are out in " + m.cell;
+  // What would be left without this one, if it serves.
+  const std::uint32_t one = serves(m);
+  const double width = one > 0 ? m.width : 0;
   if (m.role == Role::kProxy)
-    return in_zone < bounds_.least_proxies ? "least_proxies: " + std::to_string(in_zone) + " would be left in " + m.zone : "";
-  if (left < needed * (1 + bounds_.reserve)) return "reserve: what would be left does not bear the load with the reserve";
-  if (zone_left < zone_needed * (1 + bounds_.reserve)) return "reserve: what would be left in " + m.zone + " does not bear its load with the reserve";
-  if (bounds_.keep_zone && in_zone == 0) return "keep_zone: the last in " + m.zone;
-  if (bounds_.keep_cell && in_cell == 0) return "keep_cell: the last in " + m.cell;
+    return zone.serving - one < bounds_.least_proxies ? "least_proxies: " + std::to_string(zone.serving - one) + " would be left in " + m.zone : "";
+  if (room.whole.left - width < room.whole.needed * (1 + bounds_.reserve)) return "reserve: what would be left does not bear the load with the reserve";
+  if (zone.left - width < zone.needed * (1 + bounds_.reserve)) return "reserve: what would be left in " + m.zone + " does not bear its load with the reserve";
+  if (bounds_.keep_zone && zone.serving == one) return "keep_zone: the last in " + m.zone;
+  if (bounds_.keep_cell && cell.serving == one) return "keep_cell: the last in " + m.cell;
   return {};
 }
 
@@ -418,11 +413,12 @@
     }
   }
   // One at a time: each announcement changes what the next may be.
+  const std::map<Role, Room> rooms{{Role::kBackend, room(Role::kBackend)}, {Role::kProxy, room(Role::kProxy)}};
   for (const Request* q : in_order()) {
     bool starved = false;
     for (const auto& [id, m] : machines_) {
       if (!q->select.matches(m) || q->done.contains(id) || courses_.contains(id)) continue;
-      if (!stands_in_way(*q, m).empty()) {
+      if (!stands_in_way(*q, m, rooms.at(m.role)).empty()) {
         starved = starved || (time_ - q->asked > bounds_.age_step && q->not_before <= time_);
         continue;
       }
@@ -453,11 +449,12 @@
     lines.push_back(line);
   }
   std::set<std::string> reasons;
+  const Room now = room(q.select.role);
   bool any = false, free = false;
   for (const auto& [m, machine] : machines_) {
     if (!q.select.matches(machine) || q.done.contains(m) || courses_.contains(m)) continue;
     any = true;
-    const std::string reason = stands_in_way(q, machine);
+    const std::string reason = stands_in_way(q, machine, now);
     free = free || reason.empty();
     if (!reason.empty()) reasons.insert(reason);
   }
--- a/src/maintenance/ledger.h
+++ b/src/maintenance/ledger.h
@@ -160,8 +160,21 @@
   void facts(const Command& c);
   void drop(const std::string& machine, bool done);
   void tidy();
-  // Why that machine may not be announced now; null: it may.
-  std::string stands_in_way(const Request& r, const Machine& m) const;
+  // What the machines of one role show together: summed once for all that is asked of them.
+  struct Place {
+    std::uint32_t out = 0, serving = 0;  // in a course; up, warm and in none
+    double left = 0, needed = 0;         // widths of those that serve; what the load takes
+  };
+  struct Room {
+    Place whole;
+    std::map<std::string, Place> zones;
+    std::map<std::pair<std::string, std::string>, Place> cells;  // by zone and cell
+    std::uint32_t unlisted = 0;  // in a course, and gone from the list: they count everywhere
+  };
+  Room room(Role role) const;
+  bool serves(const Machine& m) const { return m.up && m.warm && !out(m); }
+  // Why that machine may not be announced now; empty: it may. `room`: of its role.
+  std::string stands_in_way(const Request& r, const Machine& m, const Room& room) const;
   std::vector<const Request*> in_order() const;
   std::int64_t rank(const Request& r) const;
   bool out(const Machine& m) const { return courses_.contains(m.id); }
--- a/src/maintenance/maintenance_actor.cpp
+++ b/src/maintenance/maintenance_actor.cpp
@@ -127,8 +127,7 @@
     if (decisions_.post(std::move(message))) told_ = until, told_serve_until_ = serve_until;
   }
   if (std::exchange(told_out_, works_->self_out()) != told_out_) drain_(told_out_);
-  const std::string leader = works_->leads() ? settings_.self : std::string();
-  if (std::exchange(led_by_, leader) != leader) log::info("maintenance", {{"leads", works_->leads()}});
+  if (std::exchange(led_, works_->leads()) != led_) log::info("maintenance", {{"leads", led_}});
 }
 
 }  // namespace beechhill::maintenance
--- a/src/maintenance/maintenance_actor.h
+++ b/src/maintenance/maintenance_actor.h
@@ -56,7 +56,7 @@
   MaintenanceBox inbox_;
   std::unique_ptr<DiskStorage> storage_;
   std::unique_ptr<Works> works_;
-  std::string led_by_;
+  bool led_ = false;
   Time look_at_{0};
   std::map<std::string, Time> told_;
   Time told_serve_until_ = Time::min();
--- a/src/maintenance/storage.cpp
+++ b/src/maintenance/storage.cpp
@@ -13,31 +13,20 @@
 
 constexpr std::size_t kLongestAddress = 80;
 
-void put_blob(Writer& w, const std::string& text) { w.number(static_cast<std::uint32_t>(text.size())).raw(text); }
-
-std::string blob(Reader& r, std::size_t left) {
-  const auto size = r.number<std::uint32_t>();
-  std::string text;
-  if (size > left) return r.text(0), text;  // more than there is: the reader fails on what follows
-  for (std::uint32_t i = 0; i < size && r.ok(); ++i) text += r.number<char>();
-  return text;
-}
-
 }  // namespace
 
 std::string encode(const Record& record) {
   Writer w;
   w.number(record.what).number(record.number).number(static_cast<std::uint32_t>(record.entries.size()));
   for (const Entry& e : record.entries) {
-    w.number(e.term).number(e.type);
-    put_blob(w, e.data);
+    w.number(e.term).number(e.type).blob(e.data);
   }
   w.number(record.kept.has_value());
   if (record.kept) {
     const Kept& k = *record.kept;
     w.number(k.index).number(k.term).number(k.servers_index).number(static_cast<std::uint8_t>(k.servers.size()));
     for (const Server& s : k.servers) w.text(s.address).number(static_cast<std::uint8_t>(s.role));
-    put_blob(w, k.data);
+    w.blob(k.data);
   }
   return w.bytes();
 }
@@ -50,7 +39,7 @@
   for (auto n = r.number<std::uint32_t>(); n > 0 && r.ok(); --n) {
     Entry& e = record.entries.emplace_back();
     e.term = r.number<std::uint64_t>(), e.type = r.number<std::uint16_t>();
-    e.data = blob(r, bytes.size());
+    e.data = r.blob();
   }
   if (r.number<bool>()) {
     Kept& k = record.kept.emplace();
@@ -60,7 +49,7 @@
       s.address = r.text(kLongestAddress);
       s.role = r.number<std::uint8_t>();
     }
-    k.data = blob(r, bytes.size());
+    k.data = r.blob();
   }
   if (!r.done() || record.what > Record::What::kSnapshot || (record.what == Record::What::kSnapshot) != record.kept.has_value())
     return std::nullopt;
--- a/src/maintenance/works.cpp
+++ b/src/maintenance/works.cpp
@@ -86,13 +86,6 @@
   return it->second.barred ? Time::min() : std::min(lease_until_, may_serve_until());
 }
 
-void Works::take_rights(Index held, std::map<std::string, Ledger::Right> rights, bool self_out) {
-  if (held < held_) return;  // an answer that was overtaken
-  held_ = held;
-  rights_ = std::move(rights);
-  self_out_ = self_out;
-}
-
 // ---- A proxy's lease
 
 void Works::ask_lease(Time now) {
@@ -115,7 +108,7 @@
   std::vector<std::pair<std::string, Fence>> empty;
   for (const auto& [id, right] : rights_)
     if (right.barred && !view_.busy.contains(id)) empty.emplace_back(id, right.fence);
-  if (const auto own = proxy_rights_.find(settings_.self); own != proxy_rights_.end() && self_out_ && view_.idle) empty.emplace_back(*own);
+  if (self_out_ && view_.idle) empty.emplace_back(settings_.self, *self_out_);
   w.number(static_cast<std::uint16_t>(empty.size()));
   for (const auto& [id, fence] : empty) w.text(id).number(fence);
   if (leader_ == settings_.self) {
@@ -125,25 +118,21 @@
   }
 }
 
-void Works::hear_lease(Time, std::string_view bytes) {
+void Works::hear_lease(std::string_view bytes) {
   Reader r(bytes);
   const auto number = r.number<std::uint64_t>();
   const auto held = r.number<Index>();
   auto rights = read_rights(r);
-  auto proxies = read_rights(r);
+  const auto proxies = read_rights(r);
   const auto sent = asks_.find(number);
-  if (!r.done() || sent == asks_.end() || held < held_) return;
+  if (!r.done() || sent == asks_.end() || held < held_) return;  // not asked for, or overtaken
   lease_until_ = std::max(lease_until_, sent->second + settings_.lease);  // from the asking: on its way it grew no longer
   asks_.erase(asks_.begin(), std::next(sent));
   leased_once_ = true;
-  proxy_rights_.clear();
-  bool self_out = false;
-  for (const auto& [id, right] : proxies) {
-    if (!right.barred) continue;
-    proxy_rights_[id] = right.fence;
-    self_out = self_out || id == settings_.self;
-  }
-  take_rights(held, std::move(rights), self_out);
+  held_ = held;
+  rights_ = std::move(rights);
+  const auto own = proxies.find(settings_.self);
+  self_out_ = own != proxies.end() && own->second.barred ? std::optional(own->second.fence) : std::nullopt;
 }
 
 // ---- What comes
@@ -164,7 +153,7 @@
       hear_ask(now, from, rest);
       break;
     case Word::kLease:
-      hear_lease(now, rest);
+      hear_lease(rest);
       break;
     case Word::kElsewhere: {
       const auto number = in.number<std::uint64_t>();
@@ -360,7 +349,7 @@
     put_rights(out, rights);
     put_rights(out, proxies);
     if (w.proxy == settings_.self) {
-      hear_lease(now, std::string_view(out.bytes()).substr(1));
+      hear_lease(std::string_view(out.bytes()).substr(1));
     } else {
       say(w.proxy, out.bytes());
     }
--- a/src/maintenance/works.h
+++ b/src/maintenance/works.h
@@ -75,9 +75,8 @@
   // When the right to send anything at all ends.
   Time may_serve_until() const;
   const std::map<std::string, Ledger::Right>& rights() const { return rights_; }  // of machines in a course, as last heard
-  bool self_out() const { return self_out_; }  // this proxy is to be taken out
+  bool self_out() const { return self_out_.has_value(); }  // this proxy is to be taken out
   bool leased() const { return leased_once_; }
-  Index held() const { return held_; }
 
   // ---- Staff
 
@@ -117,13 +116,12 @@
 
   void ask_lease(Time now);
   void hear_ask(Time now, const std::string& from, std::string_view bytes);
-  void hear_lease(Time now, std::string_view bytes);
+  void hear_lease(std::string_view bytes);
   void grant_leases(Time now);
   void vouch(Time now);
   void conduct(Time now);
   void settle_facts(Time now);
   std::string trouble(Time now);
-  void take_rights(Index held, std::map<std::string, Ledger::Right> rights, bool self_out);
   bool confirmed_by_lapse(Time now, const std::string& proxy) const;
   Time lease_ends(const std::string& proxy) const;
   void propose(What what, const std::string& proxy, const std::string& machine = {}, Fence fence = 0);
@@ -144,8 +142,8 @@
   // As a proxy.
   Index held_ = 0;
   std::map<std::string, Ledger::Right> rights_;
-  std::map<std::string, Fence> proxy_rights_;
-  bool self_out_ = false, leased_once_ = false;
+  std::optional<Fence> self_out_;
+  bool leased_once_ = false;
   Time lease_until_ = Time::min();
   std::string leader_;               // whom it asks
   std::size_t next_voter_ = 0;
--- a/src/membership/bytes.h
+++ b/src/membership/bytes.h
@@ -21,6 +21,7 @@
     text_ += t.substr(0, 65'535);
     return *this;
   }
+  Writer& blob(std::string_view t) { return number(static_cast<std::uint32_t>(t.size())).raw(t); }  // of 4 GiB at the most
   Writer& raw(std::string_view t) {
     text_ += t;
     return *this;
@@ -46,6 +47,10 @@
     if (size > most) ok_ = false;
     return std::string(take(size));
   }
+  std::string_view blob() {
+    const std::size_t size = number<std::uint32_t>();
+    return take(size);
+  }
   std::string_view rest() { return take(left_.size()); }
   bool ok() const { return ok_; }
   bool done() const { return ok_ && left_.empty(); }
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -1,10 +1,14 @@
 #include "membership/swim.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <bit>
 #include <cmath>
 #include <utility>
 
+#include "membership/bytes.h"
+
 namespace beechhill::membership {
 namespace {
 
@@ -35,18 +39,12 @@
   return m.rumours.size() < kMostRumours && bytes <= kMostRumourBytes;
 }
 
-std::uint64_t mixed(std::uint64_t x) {
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
-
 // What all have to agree on: a suspicion comes and goes.
 std::uint64_t digest_of(const Rumour& r) {
-  std::uint64_t h = 0xcbf29ce484222325ULL;
-  for (const char c : r.name) h = (h ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
   const State state = r.state == State::kSuspect ? State::kAlive : r.state;
-  return mixed(h ^ mixed((std::uint64_t{r.incarnation} << 2 | static_cast<std::uint64_t>(state)) ^ mixed(r.life)));
+  Writer w;
+  w.text(r.name).number(state).number(r.incarnation).number(r.life);
+  return XXH64(w.bytes().data(), w.bytes().size(), 0);
 }
 
 }  // namespace
