--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -146,7 +146,7 @@
   tidy(id);
 }
 
-void DecisionActor::on(StepDone& done) {
+void DecisionActor::on(AttemptDone& done) {
   const auto it = entries_.find(done.operation);
   if (it == entries_.end()) return;
   Entry& entry = it->second;
@@ -190,7 +190,7 @@
   if (it == entries_.end()) return;
   Entry& entry = it->second;
   const Operation& op = *entry.operation;
-  RouteStep step{a.id, static_cast<std::uint32_t>(entry.servers.size()), op.deadline, op.deadline, op.wait, op.payload};
+  Attempt step{a.id, static_cast<std::uint32_t>(entry.servers.size()), op.deadline, op.deadline, op.wait, op.payload};
   // Past half of its time a client is better told that nothing was sent than kept waiting for a connection.
   if (!entry.written && entry.out == 0 && !op.large()) step.connect_by = op.arrived + (op.deadline - op.arrived) * 9 / 20;
   entry.servers.push_back(a.server);
@@ -201,16 +201,16 @@
   if (entry.over || step.deadline <= now() || entry.servers.size() > most_tries_) {
     never = Result::kMoot;
   } else if (backend.state != ServerState::kUp || backend.barred || now() >= backend.until ||
-             !backend.peer->post(RouteStep(step))) {
+             !backend.peer->post(Attempt(step))) {
     never = Result::kConnectFailed;
   }
-  if (never != Result::kOk) own_.push_back(StepDone{a.id, step.attempt, never, {}, {}});
+  if (never != Result::kOk) own_.push_back(AttemptDone{a.id, step.attempt, never, {}, {}});
 }
 
 void DecisionActor::act(const Cancel& a) {
   const auto it = entries_.find(a.id);
   if (it == entries_.end() || a.attempt >= it->second.servers.size()) return;
-  if (!backends_[it->second.servers[a.attempt]].peer->post(CancelStep{a.id, a.attempt}))
+  if (!backends_[it->second.servers[a.attempt]].peer->post(CancelAttempt{a.id, a.attempt}))
     log_lost("cancel");
 }
 
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -86,7 +86,7 @@
 
   void on(Arrived& arrived);
   void on(Left& left);
-  void on(StepDone& done);
+  void on(AttemptDone& done);
   void on(StreamDone& done);
   void on(ProbeDone& done);
   void on(config::PoolConfig& pool);
--- a/src/proxy/log.h
+++ b/src/proxy/log.h
@@ -20,9 +20,9 @@
   kPeerClosed,       // a backend closed it while idle, or said that it would
   kPeerDrained,      // idle, and the backend drains or is gone
   kConnectFailed,    // refused, or not up in time
-  kStepCancelled,    // its route step was given up
-  kStepTimeout,      // its route step got no answer in time
-  kReset,            // broken during a route step
+  kStepCancelled,    // its attempt was given up
+  kStepTimeout,      // its attempt got no answer in time
+  kReset,            // broken during an attempt
   kBadReply,         // what a backend sent is no answer
   kDiscoveryEnded,   // the watch's connection ended
   kDiscoverySilent,  // the watch said nothing for too long
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -64,7 +64,7 @@
   runtime::Notifier answered;
 };
 
-struct RouteStep {  // one attempt
+struct Attempt {  // one attempt
   RequestId operation = 0;
   std::uint32_t attempt = 0;
   Time connect_by{0};  // a connection not up by then has failed
@@ -72,7 +72,7 @@
   Duration wait{0};    // of a large request: from when its last byte is written
   std::shared_ptr<const Payload> payload;
 };
-struct CancelStep {
+struct CancelAttempt {
   RequestId operation = 0;
   std::uint32_t attempt = 0;
 };
@@ -84,7 +84,7 @@
   std::chrono::milliseconds born{0};  // its last start as the list has it
   Time until = Time::max();           // when the right to send new work there ends
 };
-using PeerMessage = std::variant<RouteStep, CancelStep, ProbePeer, PeerStatus>;
+using PeerMessage = std::variant<Attempt, CancelAttempt, ProbePeer, PeerStatus>;
 
 struct Arrived {
   std::shared_ptr<Operation> operation;
@@ -92,7 +92,7 @@
 struct Left {  // the client has gone away
   std::shared_ptr<Operation> operation;
 };
-struct StepDone {
+struct AttemptDone {
   RequestId operation = 0;
   std::uint32_t attempt = 0;
   Result result = Result::kOk;
@@ -151,7 +151,7 @@
 struct CaughtUp {};  // all that discovery had written when a CatchUp was taken has been posted
 
 using DecisionMessage =
-    std::variant<Arrived, Left, StepDone, StreamDone, ProbeDone, config::PoolConfig, CaughtUp, Exclude, Census, WorkRights>;
+    std::variant<Arrived, Left, AttemptDone, StreamDone, ProbeDone, config::PoolConfig, CaughtUp, Exclude, Census, WorkRights>;
 using DecisionBox = runtime::Mailbox<DecisionMessage>;
 
 struct WatchNow {};  // the module wants the list watched: no more pausing
--- a/src/proxy/peer_actor.cpp
+++ b/src/proxy/peer_actor.cpp
@@ -74,13 +74,13 @@
 
 PeerActor::~PeerActor() {
   scheduler_.cancel(actor_);
-  for (const auto& [key, task] : steps_) scheduler_.cancel(task);
+  for (const auto& [key, task] : attempts_) scheduler_.cancel(task);
   drop_all_idle();
   std::erase(pool_.peers, this);
 }
 
 bool PeerActor::post(PeerMessage&& message) {
-  if (std::holds_alternative<RouteStep>(message) && inbox_.size() >= kStepsQueued) return false;
+  if (std::holds_alternative<Attempt>(message) && inbox_.size() >= kStepsQueued) return false;
   return inbox_.post(std::move(message));
 }
 
@@ -98,17 +98,17 @@
   }
 }
 
-void PeerActor::on(RouteStep& step) {
-  const StepKey key{step.operation, step.attempt};
-  steps_[key] = scheduler_.spawn(run_step(std::move(step)));
+void PeerActor::on(Attempt& step) {
+  const AttemptKey key{step.operation, step.attempt};
+  attempts_[key] = scheduler_.spawn(run_attempt(std::move(step)));
 }
 
-void PeerActor::on(CancelStep& cancel) {
-  const auto it = steps_.find({cancel.operation, cancel.attempt});
-  if (it == steps_.end()) return;  // its outcome is under way
+void PeerActor::on(CancelAttempt& cancel) {
+  const auto it = attempts_.find({cancel.operation, cancel.attempt});
+  if (it == attempts_.end()) return;  // its outcome is under way
   scheduler_.cancel(it->second);   // closes its connection: nothing else tells a backend
-  steps_.erase(it);
-  StepDone done{cancel.operation, cancel.attempt, Result::kCancelled, {}, {}};
+  attempts_.erase(it);
+  AttemptDone done{cancel.operation, cancel.attempt, Result::kCancelled, {}, {}};
   scheduler_.spawn(deliver(std::move(done)));
 }
 
@@ -216,14 +216,14 @@
   return owner != nullptr;
 }
 
-// ---- Route steps
+// ---- Attempts
 
-Task<> PeerActor::run_step(RouteStep step) {
-  StepDone done{step.operation, step.attempt, Result::kConnectFailed, {}, {}};
+Task<> PeerActor::run_attempt(Attempt step) {
+  AttemptDone done{step.operation, step.attempt, Result::kConnectFailed, {}, {}};
   try {
     Exchanged got = co_await exchange(*step.payload, step.connect_by, step.deadline, &step);
     if (got.told) {
-      steps_.erase({step.operation, step.attempt});
+      attempts_.erase({step.operation, step.attempt});
       DecisionMessage ended(StreamDone{server_});
       co_await deliver(std::move(ended));
       co_return;
@@ -235,7 +235,7 @@
     log_fault("step_fault", error);
     done.result = Result::kError;  // it may have run
   }
-  steps_.erase({step.operation, step.attempt});
+  attempts_.erase({step.operation, step.attempt});
   DecisionMessage message(std::move(done));
   co_await deliver(std::move(message));
 }
@@ -258,7 +258,7 @@
 }
 
 Task<PeerActor::Exchanged> PeerActor::exchange(const Payload& payload, Time connect_by, Time deadline,
-                                                const RouteStep* step) {
+                                                const Attempt* step) {
   Exchanged got;
   got.result = unsent();
   if (!may_send()) co_return got;
@@ -321,11 +321,11 @@
 // A large answer, whose first part has come: told at once, and passed on until its end. What the backend still gives is
 // not cut off by the request's deadline. True: it came whole.
 Task<bool> PeerActor::pass_on(Connection& connection, http::Parser& parser, std::string& buffer, Exchanged& got,
-                              const RouteStep& step) {
+                              const Attempt& step) {
   runtime::Notifier room;
   const auto pipe = std::make_shared<BodyPipe>(pool_.bodies);
   const BodyPipe::Writing writing(pipe.get(), room);
-  StepDone done{step.operation, step.attempt, Result::kOk, got.report, std::move(got.reply)};
+  AttemptDone done{step.operation, step.attempt, Result::kOk, got.report, std::move(got.reply)};
   done.reply.rest = pipe;
   got.told = true;
   DecisionMessage message(std::move(done));
@@ -359,7 +359,7 @@
 // An answer counts only as a whole one to this request; whatever else comes may have run, and its connection
 // is of no more use.
 Task<PeerActor::Exchanged> PeerActor::receive(Connection& connection, std::string_view id, Time deadline,
-                                              const RouteStep* step, bool& reusable) {
+                                              const Attempt* step, bool& reusable) {
   Exchanged got;
   std::string buffer;
   http::Parser parser(http::Parser::Kind::kResponse);
--- a/src/proxy/peer_actor.h
+++ b/src/proxy/peer_actor.h
@@ -1,4 +1,4 @@
-// A backend over HTTP/1.1: its connections and the route steps on them.
+// A backend over HTTP/1.1: its connections and the attempts on them.
 #pragma once
 
 #include <functional>
@@ -40,7 +40,7 @@
   [[nodiscard]] bool post(PeerMessage&& message) override;
 
  private:
-  using StepKey = std::pair<RequestId, std::uint32_t>;
+  using AttemptKey = std::pair<RequestId, std::uint32_t>;
   struct Connection;
   using IdleList = std::list<std::unique_ptr<Connection>>;
   struct Connection final : runtime::IoWatcher {  // logs its end
@@ -53,7 +53,7 @@
     FdBudget::Slot slot;
     sockaddr_in address;
     std::unique_ptr<net::Stream> stream;
-    EndReason reason = EndReason::kStepCancelled;  // what it is if its route step is destroyed
+    EndReason reason = EndReason::kStepCancelled;  // what it is if its attempt is destroyed
     std::uint64_t operations = 0;
     bool names_requests = false;  // its last answer began with its request's id
     runtime::TimePoint idle_since{};
@@ -68,19 +68,19 @@
   };
 
   runtime::Task<> run();
-  runtime::Task<> run_step(RouteStep step);
+  runtime::Task<> run_attempt(Attempt step);
   runtime::Task<> run_probe();
   runtime::Task<> deliver(DecisionMessage message);
   // `step`: whose outcome may be delivered before the answer's end; null for a probe.
-  runtime::Task<Exchanged> exchange(const Payload& payload, Time connect_by, Time deadline, const RouteStep* step);
+  runtime::Task<Exchanged> exchange(const Payload& payload, Time connect_by, Time deadline, const Attempt* step);
   runtime::Task<net::Io> send_rest(net::Stream& stream, const Payload& payload);
-  runtime::Task<Exchanged> receive(Connection& connection, std::string_view id, Time deadline, const RouteStep* step,
+  runtime::Task<Exchanged> receive(Connection& connection, std::string_view id, Time deadline, const Attempt* step,
                                    bool& reusable);
   runtime::Task<bool> pass_on(Connection& connection, http::Parser& parser, std::string& buffer, Exchanged& got,
-                              const RouteStep& step);
+                              const Attempt& step);
 
-  void on(RouteStep& step);
-  void on(CancelStep& cancel);
+  void on(Attempt& step);
+  void on(CancelAttempt& cancel);
   void on(ProbePeer&);
   void on(PeerStatus& status);
   bool may_send() const;
@@ -104,7 +104,7 @@
   runtime::Mailbox<PeerMessage> inbox_;
   IdleList idle_;                     // the most recently used last
   std::vector<Connection*> stirred_;  // idle ones that the backend has closed or written to
-  std::map<StepKey, runtime::TaskId> steps_;
+  std::map<AttemptKey, runtime::TaskId> attempts_;
   runtime::TaskId actor_;
 };
 
--- a/tests/bodies_test.cpp
+++ b/tests/bodies_test.cpp
@@ -168,7 +168,7 @@
   assert(proxy.call("GET", "/api/telemetry").body.find("\"failed\":{\"ajuste\":0,\"ver\":2}") != std::string::npos);
 }
 
-// A client that leaves amid a large body or answer takes its route step with it.
+// A client that leaves amid a large body or answer takes its attempt with it.
 void ends_with_its_client() {
   const Door backend;
   const Proxy proxy(one_host(backend));
--- a/tests/proxy_rules.cpp
+++ b/tests/proxy_rules.cpp
@@ -130,7 +130,7 @@
   assert(at_cold * 4 < at_warm);
 }
 
-// A client that leaves ends its operation: its route step's connection closes.
+// A client that leaves ends its operation: its attempt's connection closes.
 void follows_a_client_that_leaves() {
   const Door backend;
   const Proxy proxy(one_host(backend));
@@ -461,7 +461,7 @@
   }
 }
 
-// A route step that waits in a peer's mailbox, or for its connection, when the backend's drain is told leaves no byte there,
+// An attempt that waits in a peer's mailbox, or for its connection, when the backend's drain is told leaves no byte there,
 // and is told as one that never ran.
 void stops_steps_of_a_draining_backend() {
   class Words : public proxy::Payload {
@@ -483,7 +483,7 @@
     proxy::PeerActor peer(scheduler, decisions, pool, settings, 0, address);
     const Time now = proxy::now();
     assert(peer.post(proxy::PeerStatus{ServerState::kUp, now, address, {}}));
-    assert(peer.post(proxy::RouteStep{1, 0, now + 3s, now + 3s, {}, std::make_shared<Words>()}));
+    assert(peer.post(proxy::Attempt{1, 0, now + 3s, now + 3s, {}, std::make_shared<Words>()}));
     const auto drain = [&] { assert(peer.post(proxy::PeerStatus{ServerState::kDraining, proxy::now(), address, {}})); };
     if (!connecting) drain();
     const auto watch = [&]() -> runtime::Task<> {
@@ -503,7 +503,7 @@
     scheduler.run();
     assert(!decisions.empty());
     const proxy::DecisionMessage message = decisions.take();
-    assert(std::get<proxy::StepDone>(message).result == Result::kConnectFailed);
+    assert(std::get<proxy::AttemptDone>(message).result == Result::kConnectFailed);
     if (!connecting) assert(!backend.pending(0ms));
     if (connecting) {
       Wire server = backend.accept();
