--- a/src/proxy/front_socket.cpp
+++ b/src/proxy/client_connection.cpp
@@ -1,4 +1,4 @@
-#include "proxy/front_socket.h"
+#include "proxy/client_connection.h"
 
 #include <algorithm>
 #include <array>
@@ -99,7 +99,7 @@
 namespace {
 
 // A fault on one connection ends that connection alone, and says so in the log.
-Task<> serve_and_free(std::unique_ptr<FrontSocket> socket) {
+Task<> serve_and_free(std::unique_ptr<ClientConnection> socket) {
   try {
     co_await socket->serve();
   } catch (const std::exception& error) { log_fault("front_fault", error); }
@@ -134,7 +134,7 @@
     const Io io = co_await listener_->accept(Clock::now() + kAcceptCheck, fd, from, &turned_);
     if (io == Io::kOk) {
       try {
-        scheduler_.spawn(serve_and_free(std::make_unique<FrontSocket>(*this, std::move(fd), from)));
+        scheduler_.spawn(serve_and_free(std::make_unique<ClientConnection>(*this, std::move(fd), from)));
       } catch (const std::system_error& error) {  // epoll takes no more: the client is let go
         log_fault("connection_let_go", error);
       }
@@ -147,16 +147,16 @@
   listener_.reset();  // from here on clients are refused, not left waiting
 }
 
-// Closes one front socket that nothing is owed: of those longest in their phase one that never spoke, else
+// Closes one client connection that nothing is owed: of those longest in their phase one that never spoke, else
 // one that lingers, else one between requests, else one that has stopped amid its first request. While one is
 // too young to be called silent, those that had a request a moment ago are spared: silent crowds must not
 // drive usual clients out, nor must those that keep a connection for good keep new ones waiting.
 void FrontDoor::evict() {
-  using Phase = FrontSocket::Phase;
+  using Phase = ClientConnection::Phase;
   const TimePoint now = Clock::now();
-  std::array<FrontSocket*, 4> longest{};
+  std::array<ClientConnection*, 4> longest{};
   bool young = false;
-  for (FrontSocket* socket : sockets_) {
+  for (ClientConnection* socket : sockets_) {
     const auto age = now - socket->since();
     const Phase phase = socket->phase();
     if (phase == Phase::kBusy) continue;
@@ -168,7 +168,7 @@
   }
   auto*& kept = longest[static_cast<std::size_t>(Phase::kKept)];
   if (young && kept && now - kept->since() < kKeptAge) kept = nullptr;
-  for (FrontSocket* socket : longest)
+  for (ClientConnection* socket : longest)
     if (socket) return socket->ask_to_close(EndReason::kEvicted);  // its place is free once it has closed
 }
 
@@ -176,8 +176,8 @@
   while (course_.accepts(now()) || !sockets_.empty()) {
     while (!inbox_.empty()) heed(inbox_.take());
     if (course_.clears(now()))
-      for (FrontSocket* socket : sockets_)
-        if (socket->phase() == FrontSocket::Phase::kKept || socket->phase() == FrontSocket::Phase::kSilent)
+      for (ClientConnection* socket : sockets_)
+        if (socket->phase() == ClientConnection::Phase::kKept || socket->phase() == ClientConnection::Phase::kSilent)
           socket->ask_to_close(EndReason::kDraining);
     runtime::Wait wait(scheduler_);
     wait.notified(inbox_.arrived());
@@ -257,31 +257,31 @@
 
 // ---- One connection
 
-FrontSocket::FrontSocket(FrontDoor& door, net::Fd fd, const sockaddr_in& from)
+ClientConnection::ClientConnection(FrontDoor& door, net::Fd fd, const sockaddr_in& from)
     : door_(door),
       slot_(door.budget_),
       remote_(net::to_string(from)),
       stream_(door.scheduler_, std::move(fd)),
       place_(door.sockets_.insert(door.sockets_.end(), this)) {}
 
-FrontSocket::~FrontSocket() {
+ClientConnection::~ClientConnection() {
   log_end("front", remote_, reason_, operations_);
   door_.sockets_.erase(place_);
   door_.left_.notify();
 }
 
-void FrontSocket::ask_to_close(EndReason reason) {
+void ClientConnection::ask_to_close(EndReason reason) {
   asked_ = true;
   asked_reason_ = reason;
   wake_.notify();
 }
 
-void FrontSocket::enter(Phase phase) {
+void ClientConnection::enter(Phase phase) {
   phase_ = phase;
   since_ = Clock::now();
 }
 
-Task<> FrontSocket::serve() {
+Task<> ClientConnection::serve() {
   for (;;) {
     http::Parser parser(http::Parser::Kind::kRequest);
     const Got got = co_await read_request(parser);
@@ -305,19 +305,19 @@
     co_await stream_.linger(to_point(std::min(now() + kLingerLimit, door_.course_.answer_by())), wake_);
 }
 
-Task<> FrontSocket::turn_away(int status, EndReason reason) {
+Task<> ClientConnection::turn_away(int status, EndReason reason) {
   const std::string bytes = http::write_response(status, "", "", true);
   co_await reply(bytes, true);
   reason_ = reason;
 }
 
 // A large body may take its time, at a least rate.
-TimePoint FrontSocket::whole_by() const {
+TimePoint ClientConnection::whole_by() const {
   return begun_ + kRequestLimit + std::chrono::milliseconds(received_ / kLeastRate);
 }
 
 // A whole request, or of a large one what has come up to kMaxBody.
-Task<FrontSocket::Got> FrontSocket::read_request(http::Parser& parser) {
+Task<ClientConnection::Got> ClientConnection::read_request(http::Parser& parser) {
   http::Progress progress = http::Progress::kMore;
   std::string& body = parser.message().body;
   large_ = false;
@@ -372,10 +372,10 @@
   co_return progress == http::Progress::kBad ? Got::kBad : Got::kRequest;
 }
 
-bool FrontSocket::parts() const { return asked_ || door_.course_.parts(came_, now()); }
+bool ClientConnection::parts() const { return asked_ || door_.course_.parts(came_, now()); }
 
 // False: this was the connection's last.
-Task<bool> FrontSocket::answer_request(http::Parser& parser) {
+Task<bool> ClientConnection::answer_request(http::Parser& parser) {
   http::Message& request = parser.message();
   bool close = parts() || !request.keep_alive();
   if (request.method == "GET" && request.target == "/health/ready") {
@@ -431,7 +431,7 @@
 
 // A large answer, at the pace of its backend and its client. False: its end did not come, or the client left; the
 // connection is then closed without it, so that the client can tell.
-Task<bool> FrontSocket::pass_on(const Reply& reply, const std::string& extra, bool close, bool chunks) {
+Task<bool> ClientConnection::pass_on(const Reply& reply, const std::string& extra, bool close, bool chunks) {
   BodyPipe& rest = *reply.rest;
   struct Leaver {
     BodyPipe& pipe;
@@ -459,7 +459,7 @@
 }
 
 // Moves what has come of a large request's body on. False: it cannot be read, or its length was wrong.
-bool FrontSocket::take_upload(Operation& operation, http::Parser& parser) {
+bool ClientConnection::take_upload(Operation& operation, http::Parser& parser) {
   BodyPipe& upload = *operation.payload->rest();
   std::string bytes;
   const http::Progress progress = parser.feed_body(buffer_, bytes);
@@ -474,7 +474,7 @@
 
 // Waits for the operation's answer and for the client's end alike, and passes the rest of a large body on. False: the
 // client has gone, or been told that its request is wrong.
-Task<bool> FrontSocket::await_answer(const std::shared_ptr<Operation>& operation, http::Parser& parser) {
+Task<bool> ClientConnection::await_answer(const std::shared_ptr<Operation>& operation, http::Parser& parser) {
   BodyPipe* const upload = operation->payload->rest().get();
   while (!operation->answer) {
     Io io = Io::kNotified;
@@ -515,7 +515,7 @@
   co_return true;
 }
 
-Task<bool> FrontSocket::reply(const std::string& bytes, bool close) {
+Task<bool> ClientConnection::reply(const std::string& bytes, bool close) {
   const Io io = co_await stream_.write(bytes, Clock::now() + kWriteLimit);
   reason_ = io == Io::kOk ? EndReason::kAnsweredClose : EndReason::kWriteFailed;
   co_return io == Io::kOk && !close;
--- a/src/proxy/front_socket.h
+++ b/src/proxy/client_connection.h
@@ -1,4 +1,4 @@
-// The clients' side: the listener, and a front socket for each connection that it accepts.
+// The clients' side: the listener, and a client connection for each connection that it accepts.
 #pragma once
 
 #include <functional>
@@ -19,7 +19,7 @@
 
 namespace beechhill::proxy {
 
-class FrontSocket;
+class ClientConnection;
 
 // The ids of requests that are open, or were a moment ago.
 class OpenIds {
@@ -47,7 +47,7 @@
   FdBudget& budget() { return budget_; }
 
  private:
-  friend class FrontSocket;
+  friend class ClientConnection;
   struct Target {  // an operation as its request line and headers state it, or what to answer instead
     int error = 0;
     std::shared_ptr<Operation> operation;
@@ -68,7 +68,7 @@
   std::function<bool()> has_list_;
   std::unique_ptr<net::Listener> listener_;
   OpenIds ids_;
-  std::list<FrontSocket*> sockets_;  // open ones
+  std::list<ClientConnection*> sockets_;  // open ones
   runtime::Notifier left_;           // one of them ended
   DoorBox inbox_;
   DoorCourse course_;
@@ -77,12 +77,12 @@
 };
 
 // One client's connection: one operation at a time, each answered before the next is read.
-class FrontSocket {
+class ClientConnection {
  public:
-  FrontSocket(FrontDoor& door, net::Fd fd, const sockaddr_in& from);
-  ~FrontSocket();
-  FrontSocket(const FrontSocket&) = delete;
-  FrontSocket& operator=(const FrontSocket&) = delete;
+  ClientConnection(FrontDoor& door, net::Fd fd, const sockaddr_in& from);
+  ~ClientConnection();
+  ClientConnection(const ClientConnection&) = delete;
+  ClientConnection& operator=(const ClientConnection&) = delete;
 
   enum class Phase { kSilent, kLingering, kKept, kReading, kBusy };  // the first to be evicted first
   runtime::Task<> serve();
@@ -119,7 +119,7 @@
   EndReason reason_ = EndReason::kFault;
   std::uint64_t operations_ = 0;
   const Time came_ = now();
-  std::list<FrontSocket*>::iterator place_;
+  std::list<ClientConnection*>::iterator place_;
 };
 
 }  // namespace beechhill::proxy
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -51,7 +51,7 @@
 struct Failed {};
 using Answer = std::variant<Reply, BusyReply, Failed>;
 
-// One request of a client. The front socket that took it waits on `answered` for its one final answer.
+// One request of a client. The client connection that took it waits on `answered` for its one final answer.
 struct Operation {
   RequestId id = 0;  // given by the decision actor
   ClassId class_id = 0;
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -15,7 +15,7 @@
 #include "log/log.h"
 #include "handover/handover_actor.h"
 #include "proxy/decision_actor.h"
-#include "proxy/front_socket.h"
+#include "proxy/client_connection.h"
 #include "proxy/log.h"
 #include "proxy/peer_actor.h"
 #include "proxy/pool_config_actor.h"
