--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -398,7 +398,7 @@
   const BodyPipe::Writing writing(upload.get(), operation->answered);
   DecisionMessage arrival(Arrived{operation});
   if (short_of_room || !door_.decisions_.post(std::move(arrival))) {
-    operation->answer = BusyReply{};  // nothing has run
+    operation->answer = Refusal{};  // nothing has run
   } else if (!co_await await_answer(operation, parser)) {
     co_return false;
   }
@@ -415,7 +415,7 @@
     }
     bytes = http::write_response(200, type, served->body, close);
     how = Ended::kCompleted;
-  } else if (const auto* busy = std::get_if<BusyReply>(&*operation->answer)) {
+  } else if (const auto* busy = std::get_if<Refusal>(&*operation->answer)) {
     const std::string later = busy->retry_after > Duration{0}
                                   ? "Retry-After: " + http::retry_after(busy->retry_after) + "\r\n"
                                   : std::string();
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -124,7 +124,7 @@
   op.id = next_id_++;
   entries_[op.id].operation = arrived.operation;
   if (!may_serve()) {  // turned away at once, and harmlessly
-    end(entries_[op.id], BusyReply{advice_});
+    end(entries_[op.id], Refusal{advice_});
     return tidy(op.id);
   }
   Request request;
@@ -216,7 +216,7 @@
 
 void DecisionActor::act(const Refuse& a) {
   const auto it = entries_.find(a.id);
-  if (it != entries_.end()) end(it->second, BusyReply{a.retry_after});
+  if (it != entries_.end()) end(it->second, Refusal{a.retry_after});
 }
 
 void DecisionActor::act(const Fail& a) {
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -45,11 +45,11 @@
   std::optional<std::uint64_t> length;  // of all of it, with `rest` and where the backend told
 };
 
-struct BusyReply {  // refused: trying again is harmless
+struct Refusal {  // refused: trying again is harmless
   Duration retry_after{0};
 };
 struct Failed {};
-using Answer = std::variant<Reply, BusyReply, Failed>;
+using Answer = std::variant<Reply, Refusal, Failed>;
 
 // One request of a client. The client connection that took it waits on `answered` for its one final answer.
 struct Operation {
