--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -222,7 +222,7 @@
   const std::string* trace = headers.find("X-Trace-Id");
   if (!trace || trace->size() > kLongestId) return {400, nullptr};
   if (settings.effect == Effect::kKeyed && !headers.find("Idempotency-Key")) return {400, nullptr};
-  auto operation = std::make_shared<Operation>();
+  auto operation = std::make_shared<ClientRequest>();
   operation->class_id = *class_id;
   if (const std::string* tenant = headers.find("X-Customer")) {
     const auto tenant_id = tenants_.known(*tenant);
@@ -394,7 +394,7 @@
   }
   ++operations_;
   Telemetry::Open open(door_.telemetry_, target.operation->class_id);
-  const std::shared_ptr<Operation> operation = std::move(target.operation);
+  const std::shared_ptr<ClientRequest> operation = std::move(target.operation);
   const BodyPipe::Writing writing(upload.get(), operation->answered);
   DecisionMessage arrival(Arrived{operation});
   if (short_of_room || !door_.decisions_.post(std::move(arrival))) {
@@ -459,7 +459,7 @@
 }
 
 // Moves what has come of a large request's body on. False: it cannot be read, or its length was wrong.
-bool ClientConnection::take_upload(Operation& operation, http::Parser& parser) {
+bool ClientConnection::take_upload(ClientRequest& operation, http::Parser& parser) {
   BodyPipe& upload = *operation.payload->rest();
   std::string bytes;
   const http::Progress progress = parser.feed_body(buffer_, bytes);
@@ -474,7 +474,7 @@
 
 // Waits for the operation's answer and for the client's end alike, and passes the rest of a large body on. False: the
 // client has gone, or been told that its request is wrong.
-Task<bool> ClientConnection::await_answer(const std::shared_ptr<Operation>& operation, http::Parser& parser) {
+Task<bool> ClientConnection::await_answer(const std::shared_ptr<ClientRequest>& operation, http::Parser& parser) {
   BodyPipe* const upload = operation->payload->rest().get();
   while (!operation->answer) {
     Io io = Io::kNotified;
--- a/src/proxy/client_connection.h
+++ b/src/proxy/client_connection.h
@@ -50,7 +50,7 @@
   friend class ClientConnection;
   struct Target {  // an operation as its request line and headers state it, or what to answer instead
     int error = 0;
-    std::shared_ptr<Operation> operation;
+    std::shared_ptr<ClientRequest> operation;
   };
   // `upload`: where the rest of its body will come; null where it is whole.
   Target target_of(http::Message& request, std::optional<std::uint64_t> length, std::shared_ptr<BodyPipe> upload);
@@ -96,10 +96,10 @@
   runtime::Task<> turn_away(int status, EndReason reason);
   runtime::Task<Got> read_request(http::Parser& parser);
   runtime::Task<bool> answer_request(http::Parser& parser);
-  runtime::Task<bool> await_answer(const std::shared_ptr<Operation>& operation, http::Parser& parser);
+  runtime::Task<bool> await_answer(const std::shared_ptr<ClientRequest>& operation, http::Parser& parser);
   runtime::Task<bool> pass_on(const Reply& reply, const std::string& extra, bool close, bool chunks);
   runtime::TimePoint whole_by() const;
-  bool take_upload(Operation& operation, http::Parser& parser);
+  bool take_upload(ClientRequest& operation, http::Parser& parser);
   runtime::Task<bool> reply(const std::string& bytes, bool close);
   bool parts() const;
 
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -120,7 +120,7 @@
 // ---- Operations
 
 void DecisionActor::on(Arrived& arrived) {
-  Operation& op = *arrived.operation;
+  ClientRequest& op = *arrived.operation;
   op.id = next_id_++;
   entries_[op.id].operation = arrived.operation;
   if (!may_serve()) {  // turned away at once, and harmlessly
@@ -152,7 +152,7 @@
   Entry& entry = it->second;
   --entry.out;
   if (done.result != Result::kConnectFailed && done.result != Result::kMoot) entry.written = true;
-  const Operation& op = *entry.operation;
+  const ClientRequest& op = *entry.operation;
   const bool spent = op.large() && op.payload->rest()->begun();
   const std::shared_ptr<BodyPipe> rest = done.reply.rest;
   if (rest) ++backends_[entry.servers[done.attempt]].used;  // until its StreamDone
@@ -189,7 +189,7 @@
   const auto it = entries_.find(a.id);
   if (it == entries_.end()) return;
   Entry& entry = it->second;
-  const Operation& op = *entry.operation;
+  const ClientRequest& op = *entry.operation;
   Attempt step{a.id, static_cast<std::uint32_t>(entry.servers.size()), op.deadline, op.deadline, op.wait, op.payload};
   // Past half of its time a client is better told that nothing was sent than kept waiting for a connection.
   if (!entry.written && entry.out == 0 && !op.large()) step.connect_by = op.arrived + (op.deadline - op.arrived) * 9 / 20;
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -57,7 +57,7 @@
 
  private:
   struct Entry {
-    std::shared_ptr<Operation> operation;
+    std::shared_ptr<ClientRequest> operation;
     std::vector<ServerId> servers;  // by attempt
     int out = 0;                    // attempts without an outcome
     bool over = false;
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -52,7 +52,7 @@
 using Answer = std::variant<Reply, Refusal, Failed>;
 
 // One request of a client. The client connection that took it waits on `answered` for its one final answer.
-struct Operation {
+struct ClientRequest {
   RequestId id = 0;  // given by the decision actor
   ClassId class_id = 0;
   TenantId tenant = kNoTenant;
@@ -87,10 +87,10 @@
 using PeerMessage = std::variant<Attempt, CancelAttempt, ProbePeer, PeerStatus>;
 
 struct Arrived {
-  std::shared_ptr<Operation> operation;
+  std::shared_ptr<ClientRequest> operation;
 };
 struct Left {  // the client has gone away
-  std::shared_ptr<Operation> operation;
+  std::shared_ptr<ClientRequest> operation;
 };
 struct AttemptDone {
   RequestId operation = 0;
