--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -43,12 +43,12 @@
 
 }  // namespace
 
-PoolConfig read_pool_config(const Json::Value& list) {
-  PoolConfig pool;
+ServerList read_server_list(const Json::Value& list) {
+  ServerList pool;
   pool.version = get<std::uint64_t>(list, "seq");
   pool.whole = get<bool>(list, "whole");
   for (const Json::Value& row : array_in(list, "hosts")) {
-    PoolEntry e;
+    ServerListEntry e;
     e.host = get<std::string>(row, "host");
     e.state = state_in(row);
     if (e.state != ServerState::kRemoved) e.address = address_in(row, "dial");
@@ -77,7 +77,7 @@
   }
   if (c.memory_mb < kLeastMemory) fault("limits.memory_mb", "under " + std::to_string(kLeastMemory), find(root, "limits"));
   if (c.sockets < kFewestSockets) fault("limits.sockets", "under " + std::to_string(kFewestSockets), find(root, "limits"));
-  if (find(root, "known")) c.known = read_pool_config(object_in(root, "known"));
+  if (find(root, "known")) c.known = read_server_list(object_in(root, "known"));
   c.named = read_settings(object_in(root, "settings"), seed_in(root));
   if (c.named.settings.connect_timeout <= Duration{0}) fault("connect-timeout", "must be above 0");
   if (c.named.settings.idle_close <= Duration{0}) fault("idle-close", "must be above 0");
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -12,7 +12,7 @@
 
 namespace beechhill::config {
 
-struct PoolEntry {
+struct ServerListEntry {
   std::string host, zone, kind;
   sockaddr_in address{};
   std::uint32_t cell = 0;
@@ -20,10 +20,10 @@
   std::chrono::milliseconds born{0};  // Unix time; 0: long ago
 };
 
-struct PoolConfig {  // discovery's list, or the changes to it
+struct ServerList {  // discovery's list, or the changes to it
   std::uint64_t version = 0;
   bool whole = true;
-  std::vector<PoolEntry> entries;
+  std::vector<ServerListEntry> entries;
 };
 
 struct Config {
@@ -34,12 +34,12 @@
   std::string shared_folder;             // that the processes of one proxy share; empty: none
   std::uint32_t sockets = 1024;
   std::uint32_t memory_mb = 192;
-  PoolConfig known;
+  ServerList known;
   NamedSettings named;
 };
 
 // Throws JsonFault naming the key.
-PoolConfig read_pool_config(const Json::Value& list);
+ServerList read_server_list(const Json::Value& list);
 Config read_config(const Json::Value& root);
 
 // The file that GW_CONFIG names; GW_NAME, GW_LISTEN, GW_DISCOVERY and GW_ADMIN_ADDR, where set, go before what it holds.
--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -5,7 +5,7 @@
 
 #include "log/log.h"
 #include "proxy/log.h"
-#include "proxy/pool_config_actor.h"
+#include "proxy/server_list_actor.h"
 
 namespace beechhill::proxy {
 namespace {
@@ -17,7 +17,7 @@
 
 // What is heeded on the way back; all else waits for it.
 bool is_news(const DecisionMessage& message) {
-  return std::holds_alternative<config::PoolConfig>(message) || std::holds_alternative<CaughtUp>(message) ||
+  return std::holds_alternative<config::ServerList>(message) || std::holds_alternative<CaughtUp>(message) ||
          std::holds_alternative<Exclude>(message) || std::holds_alternative<WorkRights>(message);
 }
 
@@ -37,7 +37,7 @@
       most_tries_(config.named.settings.most_tries),
       unix_offset_(std::chrono::duration_cast<Time>(std::chrono::system_clock::now().time_since_epoch()) -
                    now()),
-      course_(now(), config.named.settings.drain_grace, PoolConfigActor::kSilence, !config.known.entries.empty()),
+      course_(now(), config.named.settings.drain_grace, ServerListActor::kSilence, !config.known.entries.empty()),
       balancer_(now(), config.named.settings, actions_) {
   if (subset.nodes > 0)
     subset_.emplace(subset, routing::unit_for(config.named.settings.classes), config.name);
@@ -226,18 +226,18 @@
 
 // ---- Discovery, probes, timers
 
-void DecisionActor::on(config::PoolConfig& pool) {
+void DecisionActor::on(config::ServerList& pool) {
   heard_ = true;
   course_.listed();
   take_list(pool, pool.whole ? ListKind::kFull : ListKind::kChanges);
 }
 
-void DecisionActor::take_list(const config::PoolConfig& pool, ListKind kind) {
+void DecisionActor::take_list(const config::ServerList& pool, ListKind kind) {
   Discovery discovery{kind, {}};
   const Time told = now();
   std::vector<bool> named(backends_.size(), false);
   std::vector<std::uint64_t> hashes;
-  for (const config::PoolEntry& row : pool.entries) {
+  for (const config::ServerListEntry& row : pool.entries) {
     if (row.state == ServerState::kRemoved && !servers_.known(row.host)) continue;  // let go already
     ServerEntry e;
     e.server = servers_.id(row.host);
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -89,7 +89,7 @@
   void on(AttemptDone& done);
   void on(StreamDone& done);
   void on(ProbeDone& done);
-  void on(config::PoolConfig& pool);
+  void on(config::ServerList& pool);
   void on(CaughtUp&);
   void on(Exclude& order);
   void on(Census& census);
@@ -98,7 +98,7 @@
   void refresh(const std::string& host);
   void note_use(ServerId server, const LoadReport& report);
   bool ever_listed(const std::string& host) const;
-  void take_list(const config::PoolConfig& pool, ListKind kind);
+  void take_list(const config::ServerList& pool, ListKind kind);
   void bar(ServerId server, bool barred);
   void tell(ServerId server, PeerStatus status);
   Discovery part_of(Discovery list, const std::vector<std::uint64_t>& hashes);
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -151,7 +151,7 @@
 struct CaughtUp {};  // all that discovery had written when a CatchUp was taken has been posted
 
 using DecisionMessage =
-    std::variant<Arrived, Left, AttemptDone, StreamDone, ProbeDone, config::PoolConfig, CaughtUp, Exclude, Census, WorkRights>;
+    std::variant<Arrived, Left, AttemptDone, StreamDone, ProbeDone, config::ServerList, CaughtUp, Exclude, Census, WorkRights>;
 using DecisionBox = runtime::Mailbox<DecisionMessage>;
 
 struct WatchNow {};  // the module wants the list watched: no more pausing
--- a/src/proxy/pool_config_actor.cpp
+++ b/src/proxy/server_list_actor.cpp
@@ -1,4 +1,4 @@
-#include "proxy/pool_config_actor.h"
+#include "proxy/server_list_actor.h"
 
 #include "http/message.h"
 #include "net/socket.h"
@@ -21,7 +21,7 @@
 
 }  // namespace
 
-PoolConfigActor::PoolConfigActor(runtime::Scheduler& scheduler, const config::Config& config)
+ServerListActor::ServerListActor(runtime::Scheduler& scheduler, const config::Config& config)
     : scheduler_(scheduler),
       inbox_(kInboxCapacity),
       address_(config.discovery),
@@ -29,7 +29,7 @@
       version_(config.known.version),
       random_(config.named.settings.seed) {}
 
-Task<> PoolConfigActor::run(DecisionBox& decisions) {
+Task<> ServerListActor::run(DecisionBox& decisions) {
   for (;;) {
     moved();
     anew_ = false;  // a new watch is begun at any rate
@@ -50,7 +50,7 @@
   }
 }
 
-bool PoolConfigActor::moved() {
+bool ServerListActor::moved() {
   bool elsewhere = false;
   while (!inbox_.empty()) {
     const WatchMessage message = inbox_.take();
@@ -63,13 +63,13 @@
   return elsewhere;
 }
 
-void PoolConfigActor::caught_up(DecisionBox& decisions) {
+void ServerListActor::caught_up(DecisionBox& decisions) {
   if (!std::exchange(catching_, false)) return;
   DecisionMessage word(std::in_place_type<CaughtUp>);
   if (!decisions.post(std::move(word))) log_lost("caught_up");  // its wait ends by itself
 }
 
-Task<> PoolConfigActor::watch(DecisionBox& decisions, End& end) {
+Task<> ServerListActor::watch(DecisionBox& decisions, End& end) {
   const auto stream = co_await net::Stream::connect(scheduler_, address_, Clock::now() + kConnectLimit);
   if (!stream) {
     end.reason = EndReason::kConnectFailed;
@@ -122,14 +122,14 @@
   }
 }
 
-bool PoolConfigActor::take_lines(std::string& lines, DecisionBox& decisions, std::uint64_t& lists) {
+bool ServerListActor::take_lines(std::string& lines, DecisionBox& decisions, std::uint64_t& lists) {
   std::size_t from = 0;  // what was looked at before holds no line's end: a long line is not looked through twice
   for (auto end = lines.find('\n', scanned_); end != std::string::npos; end = lines.find('\n', from)) {
     const char* const line = lines.data() + from;
     const std::size_t size = end - from;
     from = end + 1;
     if (size == 0 || (size == 1 && *line == '\r')) continue;
-    config::PoolConfig pool = config::read_pool_config(config::parse(line, line + size, "pool config"));
+    config::ServerList pool = config::read_server_list(config::parse(line, line + size, "server list"));
     const std::uint64_t version = pool.version;
     if (!decisions.post(std::move(pool))) return false;  // asked for again with the same version
     version_ = version;
--- a/src/proxy/pool_config_actor.h
+++ b/src/proxy/server_list_actor.h
@@ -1,4 +1,4 @@
-// Watches discovery and posts each pool config to the decision actor.
+// Watches discovery and posts each server list to the decision actor.
 #pragma once
 
 #include <random>
@@ -9,12 +9,12 @@
 
 namespace beechhill::proxy {
 
-class PoolConfigActor {
+class ServerListActor {
  public:
   // A watch sends at least an empty line every 2 s; one that says nothing for so long is given up.
   static constexpr std::chrono::milliseconds kSilence{2500};
 
-  PoolConfigActor(runtime::Scheduler& scheduler, const config::Config& config);
+  ServerListActor(runtime::Scheduler& scheduler, const config::Config& config);
   WatchBox& inbox() { return inbox_; }
   runtime::Task<> run(DecisionBox& decisions);
 
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -18,7 +18,7 @@
 #include "proxy/client_connection.h"
 #include "proxy/log.h"
 #include "proxy/peer_actor.h"
-#include "proxy/pool_config_actor.h"
+#include "proxy/server_list_actor.h"
 #include "serve/group.h"
 #include "snapshot/keeper.h"
 
@@ -171,13 +171,13 @@
   const auto make_peer = [&](DecisionBox& inbox, ServerId server, const sockaddr_in& address) {
     return std::make_unique<PeerActor>(scheduler, inbox, pool, config.named.settings, server, address);
   };
-  PoolConfigActor pool_config(scheduler, config);
+  ServerListActor server_list(scheduler, config);
   handover::SharedState before = folder ? folder->state() : handover::SharedState{};
   const std::unique_ptr<snapshot::Keeper> keeper = open_keeper(config, settings.snapshot);
   std::optional<snapshot::Snapshot> found = keeper ? keeper->found(unix_now()) : std::nullopt;
   if (found) log::info("snapshot_found", {{"rows", static_cast<std::uint64_t>(found->rows.size())}, {"barred", static_cast<std::uint64_t>(found->barred.size())}});
   if (found && !folder) before.barred = found->barred;  // with a folder, what stands there is newer
-  DecisionActor decisions(scheduler, config, make_peer, pool_config.inbox(), settings.subset, before.barred,
+  DecisionActor decisions(scheduler, config, make_peer, server_list.inbox(), settings.subset, before.barred,
                           found ? std::move(found->rows) : std::vector<snapshot::Row>{});
   pool.current = [&decisions] { return decisions.current(); };
   // What the list last held says may be old: with another process there to serve, discovery is heard first.
@@ -198,7 +198,7 @@
   handover::HandoverActor handover(scheduler, std::move(folder), decisions.inbox(), door.inbox(), look);
   scheduler.spawn(handover.run());
   scheduler.spawn(decisions.run());
-  scheduler.spawn(pool_config.run(decisions.inbox()));
+  scheduler.spawn(server_list.run(decisions.inbox()));
   scheduler.spawn(door.run());
   const std::unique_ptr<Group> group =
       join_group({scheduler, config, settings, decisions, handover.inbox(), telemetry, [&door] { return door.ending(); }});
@@ -210,7 +210,7 @@
     scheduler.spawn(operators->run());
   }
   scheduler.spawn(
-      heed_signals(scheduler, std::move(signals), door, handover, pool_config.inbox(), operator_file, group));
+      heed_signals(scheduler, std::move(signals), door, handover, server_list.inbox(), operator_file, group));
   const std::string address = net::to_string(door.address());
   const std::string admin = operators ? net::to_string(operators->address()) : "none";
   log::info("serving", {{"address", std::string_view(address)},
--- a/tests/proxy_rules.cpp
+++ b/tests/proxy_rules.cpp
@@ -372,7 +372,7 @@
 
 runtime::Task<> replace_backends(runtime::Scheduler& scheduler, proxy::DecisionBox& inbox) {
   for (std::uint64_t n = 1; n <= 500; ++n) {
-    config::PoolConfig pool{n, n % 2 == 0, std::vector<config::PoolEntry>(1 + n % 2)};
+    config::ServerList pool{n, n % 2 == 0, std::vector<config::ServerListEntry>(1 + n % 2)};
     pool.entries[0].host = "s-" + std::to_string(n);
     if (n % 2 == 1) {
       pool.entries[1].host = "s-" + std::to_string(n - 1);
