What discovery's agent holds is heard before it binds; an attempt looks once more at its client

Nothing of the grace is used any more: what still waits for its connection when the drain is told counts as not connected. PeerStatus::told and kDrainMargin are gone with it; - a process served by the list of its configuration before discovery had spoken. A start with a list is a return like one after a gap now (recovery::Course): requests wait up to 250 ms for the agent's word, which is asked for from version 0; - after SIGHUP the other discovery was asked for changes since the former one's version: from version 0 now. Objects may stretch over several lines ("lists may come indented": each line was parsed by itself before, and the watch given up). list_reader.* is the parser; - an attempt that got its connection after its client had left, or been answered, was written where the settings allow no cancels, or the cancel waited: ClientRequest::wanted() is asked right before the first byte; - a repeat of a keyed request could leave after its group's window, as its time in the mailbox and a blocked write were not counted: Attempt::leave_by.

--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -42,6 +42,8 @@
   if (subset.nodes > 0)
     subset_.emplace(subset, routing::unit_for(config.named.settings.classes), config.name);
   for (snapshot::Row& row : learned) claims_.try_emplace(row.host, row);
+  for (const ClassSettings& c : config.named.settings.classes)
+    memory_spans_.push_back(c.effect == Effect::kKeyed ? std::optional(c.memory_span) : std::nullopt);
   zones_.id(config.named.zone);  // the settings' own zone is number 0
   perform();
   take_list(config.known, ListKind::kLastHeld);
@@ -121,6 +123,7 @@
 
 void DecisionActor::on(Arrived& arrived) {
   ClientRequest& op = *arrived.operation;
+  if (op.abandoned) return;  // its client left while this word waited
   op.id = next_id_++;
   entries_[op.id].operation = arrived.operation;
   if (!may_serve()) {  // turned away at once, and harmlessly
@@ -152,16 +155,18 @@
   Entry& entry = it->second;
   --entry.out;
   if (done.result != Result::kConnectFailed && done.result != Result::kMoot) entry.written = true;
+  const bool never_ran = done.result == Result::kConnectFailed || done.result == Result::kMoot || done.result == Result::kFull;
+  if (!never_ran && !entry.may_have_run) entry.may_have_run = done.attempt;
   const ClientRequest& op = *entry.operation;
   const bool spent = op.large() && op.payload->rest()->begun();
   const std::shared_ptr<BodyPipe> rest = done.reply.rest;
-  if (rest) ++backends_[entry.servers[done.attempt]].used;  // until its StreamDone
+  if (rest) ++backends_[entry.sent[done.attempt].server].used;  // until its StreamDone
   if (done.result == Result::kOk && !entry.over) {
     end(entry, std::move(done.reply));
   } else if (rest) {
     rest->leave();
   }
-  if (done.attempt < entry.servers.size()) note_use(entry.servers[done.attempt], done.report);
+  if (done.attempt < entry.sent.size()) note_use(entry.sent[done.attempt].server, done.report);
   const Outcome outcome{done.operation, done.attempt, done.result, entry.over, done.report, spent};
   drive(outcome);
   tidy(done.operation);
@@ -177,11 +182,11 @@
 void DecisionActor::tidy(RequestId id) {
   const auto it = entries_.find(id);
   if (it == entries_.end() || !it->second.over || it->second.out > 0) return;
-  const std::vector<ServerId> servers = std::move(it->second.servers);
+  const std::vector<Sent> all = std::move(it->second.sent);
   entries_.erase(it);
-  for (ServerId server : servers) {
-    --backends_[server].used;
-    let_go(server);
+  for (const Sent& sent : all) {
+    --backends_[sent.server].used;
+    let_go(sent.server);
   }
 }
 
@@ -190,27 +195,30 @@
   if (it == entries_.end()) return;
   Entry& entry = it->second;
   const ClientRequest& op = *entry.operation;
-  Attempt step{a.id, static_cast<std::uint32_t>(entry.servers.size()), op.deadline, op.deadline, op.wait, op.payload};
+  Attempt attempt{a.id, static_cast<std::uint32_t>(entry.sent.size()), op.deadline, op.deadline, op.wait, op.payload, entry.operation};
   // Past half of its time a client is better told that nothing was sent than kept waiting for a connection.
-  if (!entry.written && entry.out == 0 && !op.large()) step.connect_by = op.arrived + (op.deadline - op.arrived) * 9 / 20;
-  entry.servers.push_back(a.server);
+  if (!entry.written && entry.out == 0 && !op.large()) attempt.connect_by = op.arrived + (op.deadline - op.arrived) * 9 / 20;
+  // Guards against a repeat that waits, in a mailbox or for a connection, until its group has forgotten the first.
+  if (const auto& span = memory_spans_[op.class_id]; span && entry.may_have_run)
+    attempt.leave_by = entry.sent[*entry.may_have_run].at + *span;
+  entry.sent.push_back({a.server, now()});
   ++entry.out;
   Backend& backend = backends_[a.server];
   ++backend.used;
   Result never = Result::kOk;
-  if (entry.over || step.deadline <= now() || entry.servers.size() > most_tries_) {
+  if (entry.over || op.abandoned || attempt.deadline <= now() || entry.sent.size() > most_tries_) {
     never = Result::kMoot;
   } else if (backend.state != ServerState::kUp || backend.barred || now() >= backend.until ||
-             !backend.peer->post(Attempt(step))) {
+             !backend.peer->post(Attempt(attempt))) {
     never = Result::kConnectFailed;
   }
-  if (never != Result::kOk) own_.push_back(AttemptDone{a.id, step.attempt, never, {}, {}});
+  if (never != Result::kOk) own_.push_back(AttemptDone{a.id, attempt.number, never, {}, {}});
 }
 
 void DecisionActor::act(const Cancel& a) {
   const auto it = entries_.find(a.id);
-  if (it == entries_.end() || a.attempt >= it->second.servers.size()) return;
-  if (!backends_[it->second.servers[a.attempt]].peer->post(CancelAttempt{a.id, a.attempt}))
+  if (it == entries_.end() || a.attempt >= it->second.sent.size()) return;
+  if (!backends_[it->second.sent[a.attempt].server].peer->post(CancelAttempt{a.id, a.attempt}))
     log_lost("cancel");
 }
 
@@ -234,7 +242,6 @@
 
 void DecisionActor::take_list(const config::ServerList& pool, ListKind kind) {
   Discovery discovery{kind, {}};
-  const Time told = now();
   std::vector<bool> named(backends_.size(), false);
   std::vector<std::uint64_t> hashes;
   for (const config::ServerListEntry& row : pool.entries) {
@@ -257,13 +264,13 @@
     }
     named.resize(backends_.size(), false);
     named[e.server] = true;
-    tell(e.server, PeerStatus{row.state, told, row.address, row.born});
+    tell(e.server, PeerStatus{row.state, row.address, row.born});
     discovery.entries.push_back(e);
     if (subset_) hashes.push_back(routing::hash_of_name(row.host));
   }
   if (kind != ListKind::kChanges)
     for (ServerId id = 0; id < named.size(); ++id)
-      if (!named[id] && backends_[id].peer) tell(id, PeerStatus{ServerState::kRemoved, told, {}, {}});
+      if (!named[id] && backends_[id].peer) tell(id, PeerStatus{ServerState::kRemoved, {}, {}});
   std::vector<ServerId> mentioned;
   for (const ServerEntry& e : discovery.entries) mentioned.push_back(e.server);
   drive(part_of(std::move(discovery), hashes));
@@ -332,7 +339,7 @@
   if (barred == backend.barred && until == backend.until) return;
   backend.until = until;
   if (barred != backend.barred) bar(*server, barred);
-  tell(*server, PeerStatus{backend.state, now(), backend.address, backend.born});
+  tell(*server, PeerStatus{backend.state, backend.address, backend.born});
   let_go(*server);
 }
 
--- a/src/proxy/decision_actor.h
+++ b/src/proxy/decision_actor.h
@@ -31,7 +31,7 @@
                 std::vector<snapshot::Row> learned = {});
 
   DecisionBox& inbox() { return inbox_; }
-  bool has_list() const { return course_.stage() != recovery::Stage::kEmpty; }
+  bool ready() const { return course_.ready(); }
   bool heard() const { return heard_; }  // from discovery, since the start
   // Whether what is held may decide where something new goes: not within a gap, nor until discovery was heard after it.
   bool current() const { return course_.current(now()) && may_serve(); }
@@ -56,12 +56,17 @@
   runtime::Task<> run();
 
  private:
+  struct Sent {
+    ServerId server = 0;
+    Time at{0};
+  };
   struct Entry {
     std::shared_ptr<ClientRequest> operation;
-    std::vector<ServerId> servers;  // by attempt
+    std::vector<Sent> sent;  // by attempt
     int out = 0;                    // attempts without an outcome
     bool over = false;
     bool written = false;  // an attempt has reached a backend whole, or may have
+    std::optional<std::size_t> may_have_run;  // the first attempt of which that is so
   };
 
   struct Backend {
@@ -124,6 +129,7 @@
   std::map<std::uint32_t, double> use_;  // by zone, smoothed
   Duration drain_grace_, cold_span_, advice_;
   std::uint32_t most_tries_;
+  std::vector<std::optional<Duration>> memory_spans_;  // by class, of keyed ones: how long a repeat is known as one
   Time unix_offset_;  // Unix time less the module's clock
   std::unordered_map<std::string, snapshot::Row> claims_;  // of an earlier process, by host, until a list names it
   std::uint64_t recalled_ = 0, void_ = 0;                  // of them: believed, and not
--- a/src/proxy/operation.h
+++ b/src/proxy/operation.h
@@ -62,24 +62,29 @@
   bool large() const { return payload->rest() != nullptr; }  // its body is not kept, but passed on as it comes
   std::optional<Answer> answer;
   runtime::Notifier answered;
+  // Its client has gone. Set the moment that is noticed: the word of it, a message, may wait behind others, and nothing
+  // may begin meanwhile.
+  bool abandoned = false;
+  bool wanted() const { return !abandoned && !answer; }
 };
 
-struct Attempt {  // one attempt
+struct Attempt {  // to be carried out
   RequestId operation = 0;
-  std::uint32_t attempt = 0;
+  std::uint32_t number = 0;  // of the request's, from 0
   Time connect_by{0};  // a connection not up by then has failed
   Time deadline{0};    // when the proxy stops waiting
   Duration wait{0};    // of a large request: from when its last byte is written
   std::shared_ptr<const Payload> payload;
+  std::shared_ptr<const ClientRequest> request;  // null: nobody who could leave waits for it
+  Time leave_by = Time::max();                    // its last byte has left by then, or never does
 };
 struct CancelAttempt {
   RequestId operation = 0;
   std::uint32_t attempt = 0;
 };
 struct ProbePeer {};
-struct PeerStatus {  // what discovery says of a backend, and since when
+struct PeerStatus {  // what discovery says of a backend
   ServerState state = ServerState::kUp;
-  Time told{0};
   sockaddr_in address{};
   std::chrono::milliseconds born{0};  // its last start as the list has it
   Time until = Time::max();           // when the right to send new work there ends
--- a/src/proxy/peer_actor.cpp
+++ b/src/proxy/peer_actor.cpp
@@ -24,8 +24,6 @@
                                    // pause. Longer, and its length was wrong. 250 ms where a deadline is 2 s
 constexpr auto kStreamPause = 5000ms;      // within what is passed on as it comes, by either side
 constexpr std::size_t kFirstPart = 8 * 1024;  // of an answer stated to be large, before a client gets any of it
-constexpr int kDrainMargin = 10;  // of the drain's grace, in its last part nothing is begun any more: the clock's, the
-                                  // list's and the scheduler's lag together are milliseconds where a grace is seconds
 
 class ProbePayload : public Payload {
  public:
@@ -66,7 +64,7 @@
       pool_(pool),
       settings_(settings),
       server_(server),
-      status_{ServerState::kRemoved, now(), address},
+      status_{ServerState::kRemoved, address},
       inbox_(kInboxCapacity),
       actor_(scheduler.spawn(run())) {
   pool_.peers.push_back(this);
@@ -98,9 +96,9 @@
   }
 }
 
-void PeerActor::on(Attempt& step) {
-  const AttemptKey key{step.operation, step.attempt};
-  attempts_[key] = scheduler_.spawn(run_attempt(std::move(step)));
+void PeerActor::on(Attempt& attempt) {
+  const AttemptKey key{attempt.operation, attempt.number};
+  attempts_[key] = scheduler_.spawn(run_attempt(std::move(attempt)));
 }
 
 void PeerActor::on(CancelAttempt& cancel) {
@@ -115,8 +113,6 @@
 void PeerActor::on(ProbePeer&) { scheduler_.spawn(run_probe()); }
 
 void PeerActor::on(PeerStatus& status) {
-  const bool still_down = status_.state != ServerState::kUp && status.state != ServerState::kUp;
-  if (still_down) status.told = status_.told;  // its grace runs from the first word
   if (status.state == ServerState::kRemoved) status.address = status_.address;
   // Guards against a request on a connection to a process that is gone: written there, it counts as one that may have run.
   const bool another = !net::same(status.address, status_.address) || status.born != status_.born;
@@ -124,12 +120,13 @@
   if (status.state != ServerState::kUp || another) drop_all_idle();
 }
 
+// None of a drain's grace is used: what discovery's agent held counts as told from when it had it, which may be the whole
+// grace before it came here (a start, a watch that broke or fell silent).
 bool PeerActor::may_send() const {
-  return pool_.current() && now() < status_.until && (status_.state == ServerState::kUp ||
-                             now() < status_.told + settings_.drain_grace - settings_.drain_grace / kDrainMargin);
+  return pool_.current() && now() < status_.until && status_.state == ServerState::kUp;
 }
 
-// What a step is that may not send. After a gap whether the backend still serves is not known: no fault of its own.
+// What a attempt is that may not send. After a gap whether the backend still serves is not known: no fault of its own.
 Result PeerActor::unsent() const { return pool_.current() ? Result::kConnectFailed : Result::kMoot; }
 
 // ---- Connections
@@ -218,12 +215,12 @@
 
 // ---- Attempts
 
-Task<> PeerActor::run_attempt(Attempt step) {
-  AttemptDone done{step.operation, step.attempt, Result::kConnectFailed, {}, {}};
+Task<> PeerActor::run_attempt(Attempt attempt) {
+  AttemptDone done{attempt.operation, attempt.number, Result::kConnectFailed, {}, {}};
   try {
-    Exchanged got = co_await exchange(*step.payload, step.connect_by, step.deadline, &step);
+    Exchanged got = co_await exchange(*attempt.payload, attempt.connect_by, attempt.deadline, &attempt);
     if (got.told) {
-      attempts_.erase({step.operation, step.attempt});
+      attempts_.erase({attempt.operation, attempt.number});
       DecisionMessage ended(StreamDone{server_});
       co_await deliver(std::move(ended));
       co_return;
@@ -235,7 +232,7 @@
     log_fault("step_fault", error);
     done.result = Result::kError;  // it may have run
   }
-  attempts_.erase({step.operation, step.attempt});
+  attempts_.erase({attempt.operation, attempt.number});
   DecisionMessage message(std::move(done));
   co_await deliver(std::move(message));
 }
@@ -258,10 +255,12 @@
 }
 
 Task<PeerActor::Exchanged> PeerActor::exchange(const Payload& payload, Time connect_by, Time deadline,
-                                                const Attempt* step) {
+                                                const Attempt* attempt) {
   Exchanged got;
-  got.result = unsent();
-  if (!may_send()) co_return got;
+  const auto wanted = [&] { return !attempt || !attempt->request || attempt->request->wanted(); };
+  const Time leave_by = attempt ? std::min(deadline, attempt->leave_by) : deadline;
+  got.result = wanted() ? unsent() : Result::kMoot;
+  if (!may_send() || !wanted() || now() >= leave_by) co_return got;
   std::unique_ptr<Connection> connection = take_idle();
   if (!connection) {
     if (!make_room()) co_return got;
@@ -272,19 +271,22 @@
       connection->reason = EndReason::kConnectFailed;
       co_return got;
     }
-    // Guards against work for a backend that drained, or moved, while the connection was still under way.
-    if (!may_send() || now() >= deadline || !net::same(connection->address, status_.address)) {
-      connection->reason = EndReason::kPeerDrained;
-      got.result = unsent();
+    // Guards against work for a backend that drained, or moved, while the connection was still under way; and for a client
+    // that has left, or has its answer, or beyond the time in which a repeat is known as one.
+    const bool there = may_send() && net::same(connection->address, status_.address);
+    if (!there || !wanted() || now() >= leave_by) {
+      connection->reason = there ? EndReason::kStepCancelled : EndReason::kPeerDrained;
+      got.result = wanted() ? unsent() : Result::kMoot;
+      if (there) keep_idle(std::move(connection));  // paid for, and unused
       co_return got;
     }
   }
   ++connection->operations;
   const std::string bytes = payload.encode(net::to_string(status_.address), deadline - now());
-  Io written = co_await connection->stream->write(bytes, to_point(deadline));
+  Io written = co_await connection->stream->write(bytes, to_point(leave_by));
   if (written == Io::kOk && payload.rest()) {
     written = co_await send_rest(*connection->stream, payload);
-    deadline = now() + step->wait;
+    deadline = now() + attempt->wait;
   }
   if (written != Io::kOk) {  // its last byte never left, so it never ran
     connection->reason = EndReason::kReset;
@@ -292,7 +294,7 @@
   }
   if (!payload.id().empty()) pool_.telemetry.attempt_written();  // a probe is no attempt
   bool reusable = false;
-  got = co_await receive(*connection, payload.id(), deadline, step, reusable);
+  got = co_await receive(*connection, payload.id(), deadline, attempt, reusable);
   // Guards against the next request going to where a backend no longer is.
   if (reusable && status_.state == ServerState::kUp && net::same(connection->address, status_.address))
     keep_idle(std::move(connection));
@@ -321,11 +323,11 @@
 // A large answer, whose first part has come: told at once, and passed on until its end. What the backend still gives is
 // not cut off by the request's deadline. True: it came whole.
 Task<bool> PeerActor::pass_on(Connection& connection, http::Parser& parser, std::string& buffer, Exchanged& got,
-                              const Attempt& step) {
+                              const Attempt& attempt) {
   runtime::Notifier room;
   const auto pipe = std::make_shared<BodyPipe>(pool_.bodies);
   const BodyPipe::Writing writing(pipe.get(), room);
-  AttemptDone done{step.operation, step.attempt, Result::kOk, got.report, std::move(got.reply)};
+  AttemptDone done{attempt.operation, attempt.number, Result::kOk, got.report, std::move(got.reply)};
   done.reply.rest = pipe;
   got.told = true;
   DecisionMessage message(std::move(done));
@@ -359,7 +361,7 @@
 // An answer counts only as a whole one to this request; whatever else comes may have run, and its connection
 // is of no more use.
 Task<PeerActor::Exchanged> PeerActor::receive(Connection& connection, std::string_view id, Time deadline,
-                                              const Attempt* step, bool& reusable) {
+                                              const Attempt* attempt, bool& reusable) {
   Exchanged got;
   std::string buffer;
   http::Parser parser(http::Parser::Kind::kResponse);
@@ -399,13 +401,13 @@
   got.report = report_in(message.headers);
   got.reply.body = std::move(message.body);
   if (const std::string* type = message.headers.find("Content-Type")) got.reply.type = *type;
-  if (large && (!step || got.result != Result::kOk)) {  // nobody is to have it
+  if (large && (!attempt || got.result != Result::kOk)) {  // nobody is to have it
     connection.reason = EndReason::kBadReply;
     co_return got;
   }
   if (large) {
     got.reply.length = parser.length();
-    if (!co_await pass_on(connection, parser, buffer, got, *step)) co_return got;
+    if (!co_await pass_on(connection, parser, buffer, got, *attempt)) co_return got;
   }
   reusable = message.keep_alive() && buffer.empty();
   connection.reason = buffer.empty() ? EndReason::kPeerClosed : EndReason::kBadReply;
--- a/src/proxy/peer_actor.h
+++ b/src/proxy/peer_actor.h
@@ -68,18 +68,18 @@
   };
 
   runtime::Task<> run();
-  runtime::Task<> run_attempt(Attempt step);
+  runtime::Task<> run_attempt(Attempt attempt);
   runtime::Task<> run_probe();
   runtime::Task<> deliver(DecisionMessage message);
-  // `step`: whose outcome may be delivered before the answer's end; null for a probe.
-  runtime::Task<Exchanged> exchange(const Payload& payload, Time connect_by, Time deadline, const Attempt* step);
+  // `attempt`: whose outcome may be delivered before the answer's end; null for a probe.
+  runtime::Task<Exchanged> exchange(const Payload& payload, Time connect_by, Time deadline, const Attempt* attempt);
   runtime::Task<net::Io> send_rest(net::Stream& stream, const Payload& payload);
-  runtime::Task<Exchanged> receive(Connection& connection, std::string_view id, Time deadline, const Attempt* step,
+  runtime::Task<Exchanged> receive(Connection& connection, std::string_view id, Time deadline, const Attempt* attempt,
                                    bool& reusable);
   runtime::Task<bool> pass_on(Connection& connection, http::Parser& parser, std::string& buffer, Exchanged& got,
-                              const Attempt& step);
+                              const Attempt& attempt);
 
-  void on(Attempt& step);
+  void on(Attempt& attempt);
   void on(CancelAttempt& cancel);
   void on(ProbePeer&);
   void on(PeerStatus& status);
--- a/src/proxy/server_list_actor.cpp
+++ b/src/proxy/server_list_actor.cpp
@@ -1,5 +1,8 @@
 #include "proxy/server_list_actor.h"
 
+#include <algorithm>
+#include <optional>
+
 #include "http/message.h"
 #include "net/socket.h"
 
@@ -14,10 +17,17 @@
 namespace {
 
 constexpr auto kConnectLimit = 500ms;
-constexpr auto kLeastPause = 50ms, kMostPause = 250ms;
-constexpr std::size_t kInboxCapacity = 4;  // one order is as good as many
-// Of the memory, a line of the list may be one part: read, its rows take some ten times as much. At 192 MB 40,000 rows.
-constexpr std::size_t kLineShare = 32;
+// Discovery's agent stands on this machine, or near, and answers at once: a call without its answer's head by then was not
+// heard. Every kPatience such calls in a row the next ones wait as much longer, up to kSilence, for an agent that is slow.
+constexpr auto kFirstWord = 500ms;
+constexpr int kPatience = 8;
+// After a call that failed sooner than kFirstWord. What discovery learns at its return counts as told at once, so this
+// stays well under a drain's grace, the shortest known of which are 200 ms.
+constexpr auto kLeastPause = 50ms, kMostPause = 100ms;
+constexpr std::size_t kListRate = 100;  // bytes a millisecond of a list under way, at the least
+constexpr std::size_t kInboxCapacity = 16;
+// Of the memory, an object of the list may be one part: read, its rows take some ten times as much. At 192 MB 40,000 rows.
+constexpr std::size_t kObjectShare = 32;
 
 }  // namespace
 
@@ -25,7 +35,7 @@
     : scheduler_(scheduler),
       inbox_(kInboxCapacity),
       address_(config.discovery),
-      most_line_(std::size_t{config.memory_mb} * 1024 * 1024 / kLineShare),
+      most_object_(std::size_t{config.memory_mb} * 1024 * 1024 / kObjectShare),
       version_(config.known.version),
       random_(config.named.settings.seed) {}
 
@@ -33,6 +43,7 @@
   for (;;) {
     moved();
     anew_ = false;  // a new watch is begun at any rate
+    const TimePoint began = Clock::now();
     End end{.address = address_};
     try {
       co_await watch(decisions, end);
@@ -42,6 +53,8 @@
     }
     log_end("discovery", net::to_string(end.address), end.reason, end.lists);
     if (end.reason == EndReason::kDiscoveryMoved || end.reason == EndReason::kDiscoveryAnew) continue;
+    // What is missed meanwhile counts as told: at once, where that is no busy loop.
+    if (Clock::now() - began >= kFirstWord) continue;
     // Jitter: all proxies lose a discovery that fails at the same moment.
     std::uniform_int_distribution<std::int64_t> pause(kLeastPause.count(), kMostPause.count());
     runtime::Wait wait(scheduler_);
@@ -59,6 +72,8 @@
     if (!move || net::same(move->address, address_)) continue;
     address_ = move->address;
     elsewhere = true;
+    catching_ = true;  // another discovery may count its versions otherwise: the whole list is asked for
+    mute_ = 0;
   }
   return elsewhere;
 }
@@ -75,20 +90,23 @@
     end.reason = EndReason::kConnectFailed;
     co_return;
   }
+  const auto first_word = std::min<Clock::duration>(kFirstWord * (1 + mute_ / kPatience), kSilence);
+  ++mute_;
   // What changed since version 0 is the whole list, and comes at once: where nothing has changed nothing would.
   const bool whole = catching_;
   const std::string request =
       http::write_request("GET", "/registry/instances?watch=1&from=" + std::to_string(whole ? 0 : version_),
                           net::to_string(address_), "", "");
-  if (co_await stream->write(request, Clock::now() + kSilence) != Io::kOk) co_return;
+  TimePoint silent = Clock::now() + first_word;
+  if (co_await stream->write(request, silent) != Io::kOk) co_return;
   http::Parser parser(http::Parser::Kind::kResponseHead);
   http::ChunkedDecoder chunked;
-  std::string buffer, lines;
-  scanned_ = 0;
-  TimePoint silent = Clock::now() + kSilence;
+  ListReader reader(most_object_);
+  std::string buffer, body;
   for (;;) {
     const bool all = catching_ && !whole;  // what stands in the socket, up to its end
-    const Io io = co_await stream->read(buffer, all ? Clock::now() : silent, all ? nullptr : &inbox_.arrived());
+    const TimePoint until = all ? Clock::now() : silent + std::chrono::milliseconds(reader.unfinished() / kListRate);
+    const Io io = co_await stream->read(buffer, until, all ? nullptr : &inbox_.arrived());
     if (io == Io::kNotified) {
       const bool elsewhere = moved();
       if (!elsewhere && !anew_) continue;
@@ -101,43 +119,44 @@
     }
     if (io == Io::kTimeout) end.reason = EndReason::kDiscoverySilent;
     if (io != Io::kOk) co_return;
-    silent = Clock::now() + kSilence;
     end.reason = EndReason::kDiscoveryBad;
-    http::Progress progress = http::Progress::kMore;
     if (!parser.head_done()) {
-      progress = parser.feed(buffer);
-      if (progress == http::Progress::kMore) continue;
-      if (progress == http::Progress::kBad || parser.message().status != 200) co_return;
+      const http::Progress head = parser.feed(buffer);
+      if (head == http::Progress::kMore) continue;
+      if (head == http::Progress::kBad || parser.message().status != 200) co_return;
+      if (!whole) silent = Clock::now() + kSilence;  // nothing may have changed
     }
-    progress = http::Progress::kMore;
+    http::Progress progress = http::Progress::kMore;
     if (parser.chunked()) {
-      progress = chunked.feed(buffer, lines);
+      progress = chunked.feed(buffer, body);
     } else {
-      lines += std::exchange(buffer, {});
+      body = std::exchange(buffer, {});
     }
-    if (!take_lines(lines, decisions, end.lists) || progress == http::Progress::kBad) co_return;
+    reader.feed(std::exchange(body, {}));
+    // Only what is whole shows that the watch lives: bytes that complete nothing may come from one that is broken.
+    const std::optional<bool> said = take_lists(reader, decisions, end.lists);
+    if (!said || progress == http::Progress::kBad) co_return;
+    if (*said) silent = Clock::now() + kSilence, mute_ = 0;
     if (whole && end.lists > 0) caught_up(decisions);
     end.reason = EndReason::kDiscoveryEnded;
     if (progress == http::Progress::kDone) co_return;
   }
 }
 
-bool ServerListActor::take_lines(std::string& lines, DecisionBox& decisions, std::uint64_t& lists) {
-  std::size_t from = 0;  // what was looked at before holds no line's end: a long line is not looked through twice
-  for (auto end = lines.find('\n', scanned_); end != std::string::npos; end = lines.find('\n', from)) {
-    const char* const line = lines.data() + from;
-    const std::size_t size = end - from;
-    from = end + 1;
-    if (size == 0 || (size == 1 && *line == '\r')) continue;
-    config::ServerList pool = config::read_server_list(config::parse(line, line + size, "server list"));
-    const std::uint64_t version = pool.version;
-    if (!decisions.post(std::move(pool))) return false;  // asked for again with the same version
+// Whether the watch gave a sign of life; nothing where it can't be read on.
+std::optional<bool> ServerListActor::take_lists(ListReader& reader, DecisionBox& decisions, std::uint64_t& lists) {
+  std::string_view object;
+  for (bool said = false;; said = true) {
+    const ListReader::Got got = reader.next(object);
+    if (got == ListReader::Got::kBad) return std::nullopt;
+    if (got == ListReader::Got::kMore) return said;
+    if (got == ListReader::Got::kEmptyLine) continue;
+    config::ServerList list = config::read_server_list(config::parse(object.data(), object.data() + object.size(), "server list"));
+    const std::uint64_t version = list.version;
+    if (!decisions.post(std::move(list))) return std::nullopt;  // asked for again with the same version
     version_ = version;
     ++lists;
   }
-  lines.erase(0, from);
-  scanned_ = lines.size();
-  return lines.size() <= most_line_;
 }
 
 }  // namespace beechhill::proxy
--- a/src/proxy/server_list_actor.h
+++ b/src/proxy/server_list_actor.h
@@ -1,9 +1,11 @@
 // Watches discovery and posts each server list to the decision actor.
 #pragma once
 
+#include <optional>
 #include <random>
 #include <string>
 
+#include "proxy/list_reader.h"
 #include "proxy/log.h"
 #include "proxy/operation.h"
 
@@ -27,14 +29,16 @@
   runtime::Task<> watch(DecisionBox& decisions, End& end);
   bool moved();  // takes what is in the mailbox: whether discovery is elsewhere now
   void caught_up(DecisionBox& decisions);
-  bool take_lines(std::string& lines, DecisionBox& decisions, std::uint64_t& lists);
+  std::optional<bool> take_lists(ListReader& reader, DecisionBox& decisions, std::uint64_t& lists);
 
   runtime::Scheduler& scheduler_;
   WatchBox inbox_;
   sockaddr_in address_;
-  std::size_t most_line_, scanned_ = 0;  // bytes of a line, and of the one under way that were looked at
+  std::size_t most_object_;  // bytes of one
   std::uint64_t version_;
-  bool catching_ = false;  // a CaughtUp is owed
+  int mute_ = 0;          // calls in a row that were not answered
+  // A CaughtUp is owed: at the start too, as what the agent holds is newer than the list last held.
+  bool catching_ = true;
   bool anew_ = false;      // by asking for the whole list on another connection
   std::mt19937_64 random_;
 };
--- a/src/recovery/course.cpp
+++ b/src/recovery/course.cpp
@@ -33,7 +33,10 @@
       hear_within_(std::min(away_after_, kMostHearing)),
       watch_silence_(watch_silence),
       looked_at_(now),
-      has_list_(has_list) {}
+      hear_by_(now + kMostHearing),
+      has_list_(has_list),
+      returning_(has_list),
+      starting_(has_list) {}
 
 bool Course::look(Time now) {
   const Duration since = now - std::exchange(looked_at_, std::max(now, looked_at_));
@@ -51,11 +54,11 @@
 
 void Course::caught_up() {
   heard_ = heard_ || returning_;
-  returning_ = false;
+  returning_ = starting_ = false;
 }
 
 bool Course::returning(Time now) {
-  if (returning_ && now >= hear_by_) returning_ = false, heard_ = false;  // on with what is held: still hearing
+  if (returning_ && now >= hear_by_) returning_ = starting_ = heard_ = false;  // on with what is held: still hearing
   return returning_;
 }
 
--- a/src/recovery/course.h
+++ b/src/recovery/course.h
@@ -18,7 +18,8 @@
 class Course {
  public:
   // `drain_grace`: how long after discovery's word work may still go to a backend that drains; zero where none is stated.
-  // `watch_silence`: how long a live watch may say nothing. `has_list`: one is held at the start.
+  // `watch_silence`: how long a live watch may say nothing. `has_list`: one is held at the start. It may be old, and what
+  // discovery's agent holds by then counts as told: a start with a list is a return like one after a gap.
   Course(Time now, Duration drain_grace, Duration watch_silence, bool has_list);
 
   // The host looks at its clock: before anything else that it does, and every beat() at the least. True: a gap has
@@ -33,8 +34,10 @@
   void caught_up();  // all that it wrote up to now has been heard
   // Whether what is held may decide where something new goes. False within a gap that nobody has looked at yet.
   bool current(Time now) const { return !returning_ && now - looked_at_ <= away_after_; }
-  // Whether the wait for discovery after a gap goes on; it ends by itself at hear_by().
+  // Whether the wait for discovery after a gap, or a start, goes on; it ends by itself at hear_by().
   bool returning(Time now);
+  // Whether the process may be put to use: it has a list, and its start is over.
+  bool ready() const { return has_list_ && !starting_; }
   Time hear_by() const { return hear_by_; }
   Stage stage() const { return !has_list_ ? Stage::kEmpty : heard_ && !returning_ ? Stage::kFull : Stage::kHearing; }
 
@@ -42,7 +45,7 @@
   Duration away_after_, hear_within_, watch_silence_;
   Time looked_at_, hear_by_{0};
   Duration gap_{0};
-  bool has_list_, heard_ = false, returning_ = false;
+  bool has_list_, heard_ = false, returning_, starting_;
 };
 
 }  // namespace beechhill::recovery
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -184,7 +184,7 @@
   const runtime::TimePoint patience = runtime::Clock::now() + kHearDiscovery;
   const bool patient = folder && folder->others().alive > 0;
   const auto has_list = [&] {
-    return decisions.has_list() && decisions.may_serve() && (!patient || decisions.heard() || runtime::Clock::now() >= patience);
+    return decisions.ready() && decisions.may_serve() && (!patient || decisions.heard() || runtime::Clock::now() >= patience);
   };
   FrontDoor door(scheduler, decisions.inbox(), config, telemetry, bodies, shares.front(), has_list, before.drained);
   const auto look = [&](const handover::Folder::Others& others) {
