Clients that leave are noticed unread bytes or not; nothing that was read is dropped at an end

With deadlines under 0.6 s it closes sooner, so that whom it takes can be answered; - a request that was already read was dropped where the answer before it was its connection's last: it is answered first; - a request that crossed a close at rest, or came after a last answer, was read and thrown away by the linger, which looks to its client like an answer that never comes: it stays unread now, and the connection is reset over it (linger_unread). After a refusal of a malformed request the linger reads on as before, as what comes is no request; - new clients that had not spoken yet were closed within 20 ms of the course's clearing: they have 100 ms.

--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -137,6 +137,17 @@
   }
 }
 
+Task<Io> Stream::await_end(TimePoint deadline, runtime::Notifier& notifier) {
+  while (!io_.ended()) {
+    Wait wait(scheduler_);
+    wait.readable(io_).until(deadline).notified(notifier);
+    const Wake wake = co_await wait;
+    if (wake == Wake::kNotified) co_return Io::kNotified;
+    if (wake == Wake::kTime && !io_.ended()) co_return Io::kTimeout;
+  }
+  co_return Io::kEof;
+}
+
 Task<Io> Stream::write(std::string_view bytes, TimePoint deadline) {
   while (!bytes.empty()) {
     const ssize_t n = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -173,6 +184,11 @@
   }
 }
 
+Task<> Stream::linger_unread(TimePoint deadline, runtime::Notifier& notifier) {
+  end_sending();
+  co_await await_end(deadline, notifier);
+}
+
 Listener::Listener(runtime::Scheduler& scheduler, const sockaddr_in& address)
     : scheduler_(scheduler), fd_(listening(address)), io_(scheduler, fd_.get()) {}
 
@@ -198,14 +214,20 @@
 Listener::Listener(runtime::Scheduler& scheduler, Fd listening)
     : scheduler_(scheduler), fd_(checked(std::move(listening))), io_(scheduler, fd_.get()) {}
 
-Task<Io> Listener::accept(TimePoint deadline, Fd& taken, sockaddr_in& from, runtime::Notifier* notifier) {
+Io Listener::accept_now(Fd& taken, sockaddr_in& from) {
   for (;;) {
     socklen_t size = sizeof from;
     taken = Fd(::accept4(fd_.get(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (taken) co_return Io::kOk;
+    if (taken) return Io::kOk;
     // Guards against dying of a connection that was reset in the backlog.
     if (errno == EINTR || errno == ECONNABORTED) continue;
-    if (!would_block()) co_return Io::kError;
+    return would_block() ? Io::kTimeout : Io::kError;
+  }
+}
+
+Task<Io> Listener::accept(TimePoint deadline, Fd& taken, sockaddr_in& from, runtime::Notifier* notifier) {
+  for (;;) {
+    if (const Io io = accept_now(taken, from); io != Io::kTimeout) co_return io;
     Wait wait(scheduler_);
     wait.readable(io_).until(deadline);
     if (notifier) wait.notified(*notifier);
--- a/src/net/socket.h
+++ b/src/net/socket.h
@@ -47,6 +47,9 @@
   // Appends what there is to `buffer`, waiting for it until the deadline or, if given, the notifier.
   runtime::Task<Io> read(std::string& buffer, runtime::TimePoint deadline,
                          runtime::Notifier* notifier = nullptr);
+  // Waits, without reading, until the peer has ended (kEof), though bytes may still stand before its end; or until the
+  // deadline or the notifier.
+  runtime::Task<Io> await_end(runtime::TimePoint deadline, runtime::Notifier& notifier);
   // Writes all of `bytes`, which must outlive the call. kOk: the system has taken the last byte.
   runtime::Task<Io> write(std::string_view bytes, runtime::TimePoint deadline);
   // Reads without waiting: true when the peer has ended, or sent what nobody asked for.
@@ -56,6 +59,8 @@
   // Tells the peer that no more comes, then reads until it ends too, or the notifier calls: a reset must not
   // destroy an answer.
   runtime::Task<> linger(runtime::TimePoint deadline, runtime::Notifier& notifier);
+  // The same, but what comes meanwhile stays unread: whoever sent it can tell that it was not taken.
+  runtime::Task<> linger_unread(runtime::TimePoint deadline, runtime::Notifier& notifier);
   void end_sending();
 
  private:
@@ -79,6 +84,8 @@
   // `notifier`, if given.
   runtime::Task<Io> accept(runtime::TimePoint deadline, Fd& taken, sockaddr_in& from,
                            runtime::Notifier* notifier = nullptr);
+  // The same without waiting. kTimeout: none is there.
+  Io accept_now(Fd& taken, sockaddr_in& from);
   sockaddr_in address() const;
 
  private:
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -23,6 +23,7 @@
 constexpr std::uint64_t kLeastRate = 32;   // bytes a millisecond; a slow client writes 64
 constexpr auto kUploadGuess = 60s;         // for a large body to come, as the module is told
 constexpr auto kSilentAge = 30ms;          // when descriptors are short: a usual client has spoken by then
+constexpr auto kSpeaksWithin = 100ms;       // when the program ends: a new client that will speak at all
 constexpr auto kKeptAge = 250ms;           // the same, while there may be silent ones: between requests
 constexpr auto kHalfSpokenAge = 500ms;     // the same, for the rest of its request
 constexpr auto kWriteLimit = 5s;           // for a client to take its answer
@@ -115,6 +116,8 @@
     co_await wait;
   }
   accepting_ = true;
+  sockaddr_in from{};
+  net::Fd fd;
   for (std::size_t taken = 1; course_.accepts(now()); ++taken) {
     if (taken % kAcceptTurn == 0 || !budget_.room()) {  // those taken have spoken, if ever, after their turn
       runtime::Wait others(scheduler_);
@@ -123,30 +126,44 @@
     }
     // Stops accepting when descriptors are short: the backlog holds clients until one is free.
     if (!budget_.room()) {
-      evict();
-      runtime::Wait wait(scheduler_);
-      wait.notified(left_).until(Clock::now() + kAcceptPause);
-      co_await wait;
+      co_await room();
       continue;
     }
-    sockaddr_in from{};
-    net::Fd fd;
     const Io io = co_await listener_->accept(Clock::now() + kAcceptCheck, fd, from, &turned_);
-    if (io == Io::kOk) {
-      try {
-        scheduler_.spawn(serve_and_free(std::make_unique<ClientConnection>(*this, std::move(fd), from)));
-      } catch (const std::system_error& error) {  // epoll takes no more: the client is let go
-        log_fault("connection_let_go", error);
-      }
-    } else if (io == Io::kError) {
-      runtime::Wait wait(scheduler_);  // guards against a busy loop when the system has none left
-      wait.until(Clock::now() + kAcceptPause);
-      co_await wait;
+    if (io == Io::kOk) admit(std::move(fd), from);
+    if (io != Io::kError) continue;
+    runtime::Wait wait(scheduler_);  // guards against a busy loop when the system has none left
+    wait.until(Clock::now() + kAcceptPause);
+    co_await wait;
+  }
+  // Guards against a reset of those in the backlog: to them this machine has accepted. The last look and the close are one
+  // turn. A shared socket's are its other holders'.
+  while (!config_.inherited && now() < course_.answer_by()) {
+    if (!budget_.room()) {
+      co_await room();
+      continue;
     }
+    if (listener_->accept_now(fd, from) != Io::kOk) break;
+    admit(std::move(fd), from);
   }
   listener_.reset();  // from here on clients are refused, not left waiting
 }
 
+void FrontDoor::admit(net::Fd fd, const sockaddr_in& from) {
+  try {
+    scheduler_.spawn(serve_and_free(std::make_unique<ClientConnection>(*this, std::move(fd), from)));
+  } catch (const std::system_error& error) {  // epoll takes no more: the client is let go
+    log_fault("connection_let_go", error);
+  }
+}
+
+Task<> FrontDoor::room() {
+  evict();
+  runtime::Wait wait(scheduler_);
+  wait.notified(left_).until(Clock::now() + kAcceptPause);
+  co_await wait;
+}
+
 // Closes one client connection that nothing is owed: of those longest in their phase one that never spoke, else
 // one that lingers, else one between requests, else one that has stopped amid its first request. While one is
 // too young to be called silent, those that had a request a moment ago are spared: silent crowds must not
@@ -177,7 +194,8 @@
     while (!inbox_.empty()) heed(inbox_.take());
     if (course_.clears(now()))
       for (ClientConnection* socket : sockets_)
-        if (socket->phase() == ClientConnection::Phase::kKept || socket->phase() == ClientConnection::Phase::kSilent)
+        if (socket->phase() == ClientConnection::Phase::kKept ||
+            (socket->phase() == ClientConnection::Phase::kSilent && Clock::now() >= socket->since() + kSpeaksWithin))
           socket->ask_to_close(EndReason::kDraining);
     runtime::Wait wait(scheduler_);
     wait.notified(inbox_.arrived());
@@ -285,9 +303,9 @@
   for (;;) {
     http::Parser parser(http::Parser::Kind::kRequest);
     const Got got = co_await read_request(parser);
-    // An evicted socket's descriptor is needed now, and nothing of an answer is still on its way.
-    if (got == Got::kEnd && reason_ != EndReason::kDraining) co_return;
-    if (got == Got::kEnd) break;
+    // At rest nothing of an answer is still on its way. A request that crosses the close stays unread, and its client can
+    // tell: it sends it once more.
+    if (got == Got::kEnd) co_return;
     if (got == Got::kBad) {
       co_await turn_away(parser.error_status(), EndReason::kBadRequest);
       break;
@@ -300,13 +318,19 @@
     if (!open) break;
   }
   enter(Phase::kLingering);
+  if (asked_ && asked_reason_ == EndReason::kEvicted) co_return;  // its descriptor is needed now
   // Guards against a reset that destroys an answer still on its way.
-  if (!asked_ || asked_reason_ != EndReason::kEvicted)
-    co_await stream_.linger(to_point(std::min(now() + kLingerLimit, door_.course_.answer_by())), wake_);
+  const TimePoint until = to_point(std::min(now() + kLingerLimit, door_.course_.answer_by()));
+  if (spoilt_) {
+    co_await stream_.linger(until, wake_);
+  } else {
+    co_await stream_.linger_unread(until, wake_);
+  }
 }
 
 Task<> ClientConnection::turn_away(int status, EndReason reason) {
   const std::string bytes = http::write_response(status, "", "", true);
+  spoilt_ = true;
   co_await reply(bytes, true);
   reason_ = reason;
 }
@@ -372,14 +396,18 @@
   co_return progress == http::Progress::kBad ? Got::kBad : Got::kRequest;
 }
 
-bool ClientConnection::parts() const { return asked_ || door_.course_.parts(came_, now()); }
+// Not while the next request stands in the buffer, as it has been read; but for the end of all answers.
+bool ClientConnection::parts() const {
+  return (asked_ || door_.course_.parts(came_, now())) && (buffer_.empty() || now() >= door_.course_.answer_by());
+}
 
 // False: this was the connection's last.
 Task<bool> ClientConnection::answer_request(http::Parser& parser) {
   http::Message& request = parser.message();
-  bool close = parts() || !request.keep_alive();
+  bool close = !request.keep_alive();
   if (request.method == "GET" && request.target == "/health/ready") {
     probed_ = true;
+    close = close || parts();
     const std::string bytes = http::write_response(door_.ready() ? 200 : 503, "", "", close);
     co_return co_await reply(bytes, close);
   }
@@ -403,7 +431,8 @@
     co_return false;
   }
   // Answered before its body has come: what still comes is no request.
-  close = close || parts() || (upload && !upload->whole());
+  spoilt_ = upload && !upload->whole();
+  close = close || spoilt_ || parts();
   std::string bytes;
   Ended how = Ended::kFailed;
   if (const auto* served = std::get_if<Reply>(&*operation->answer)) {
@@ -485,11 +514,9 @@
       io = co_await stream_.read(buffer_, overdue, &operation->answered);
       received_ += buffer_.size() - before;
     } else {
-      // While a backend holds the body back, its client is not the slow one.
-      runtime::Wait wait(door_.scheduler_);
+      // While a backend holds the body back, its client is not the slow one. It may leave, unread bytes or not.
       const TimePoint from = Clock::now();
-      wait.notified(operation->answered).until(coming ? to_point(operation->deadline) : overdue);
-      if (co_await wait == runtime::Wake::kTime) io = Io::kTimeout;
+      io = co_await stream_.await_end(coming ? to_point(operation->deadline) : overdue, operation->answered);
       if (coming) begun_ += Clock::now() - from;
     }
     if (operation->answer || io == Io::kNotified) continue;
@@ -503,9 +530,13 @@
     if (io == Io::kOk && !spoilt) continue;
     // Gone, or never decided: an unforeseen failure, and something may have run.
     if (io == Io::kTimeout && !slow) operation->answer = Failed{};
+    operation->abandoned = io != Io::kTimeout || slow;
     if (upload) upload->break_off();
-    DecisionMessage left(Left{operation});
-    if (!door_.decisions_.post(std::move(left))) log_lost("client_end");
+    for (DecisionMessage left(Left{operation}); !door_.decisions_.post(std::move(left));) {
+      runtime::Wait wait(door_.scheduler_);  // guards against a request that is held and sent on for nobody
+      wait.until(Clock::now() + 1ms);
+      co_await wait;
+    }
     if (io == Io::kTimeout && !slow) break;
     if (spoilt) co_await turn_away(coming ? parser.error_status() : 400, EndReason::kBadRequest);
     if (slow) co_await turn_away(408, EndReason::kReadTimeout);
--- a/src/proxy/client_connection.h
+++ b/src/proxy/client_connection.h
@@ -55,6 +55,8 @@
   // `upload`: where the rest of its body will come; null where it is whole.
   Target target_of(http::Message& request, std::optional<std::uint64_t> length, std::shared_ptr<BodyPipe> upload);
   bool ready() const { return course_.ready() && has_list_(); }
+  void admit(net::Fd fd, const sockaddr_in& from);
+  runtime::Task<> room();  // waits for one more descriptor, which may come from a client that nothing is owed to
   void evict();
   void heed(const DoorOrder& order);
 
@@ -111,6 +113,7 @@
   runtime::Notifier wake_;
   bool asked_ = false, probed_ = false;
   bool large_ = false;            // the request's body is not whole yet, and will not be kept
+  bool spoilt_ = false;           // what still comes can't be told from a request's body
   runtime::TimePoint begun_{};    // its first byte came
   std::uint64_t received_ = 0;    // of its bytes, so far
   Phase phase_ = Phase::kSilent;
--- a/src/proxy/door_course.h
+++ b/src/proxy/door_course.h
@@ -27,7 +27,9 @@
   // Whether the front may send clients here. With a successor they get there by the same address.
   bool ready() const { return !drained_ && (!ending_ || succeeded_); }
   // Callers hear of a planned end only some time after it began; with a successor none waits for this process.
-  bool accepts(Time now) const { return !ending_ || (!succeeded_ && now < *ending_ + kAcceptAfterEnd); }
+  bool accepts(Time now) const {
+    return !ending_ || (!succeeded_ && now < std::min(*ending_ + kAcceptAfterEnd, answer_by() - kLeastForOne));
+  }
   // Whether the answer given now is the last on a connection that came at `came`. Alone in its end the process serves
   // kept connections on, as there may be no other for them; those that came after the word close at once.
   bool parts(Time came, Time now) const {
@@ -46,6 +48,8 @@
   static constexpr Duration kLongestCounted = std::chrono::seconds(3);
   static constexpr Duration kAnsweredAfterEnd = std::chrono::milliseconds(500);
   static constexpr Duration kLastTaken = std::chrono::milliseconds(600);
+  // Clients come for up to 0.4 s after the signal, which with the shortest deadline of all is 0.1 s before this.
+  static constexpr Duration kLeastForOne = std::chrono::milliseconds(100);
   // The front asks every 100 ms and acts 200 ms after a no: who parts sooner is sent here again. A drain must stand at
   // 4 s, with no request younger than 2 s.
   static constexpr Duration kAwayAfter = std::chrono::milliseconds(300);
--- a/src/runtime/scheduler.cpp
+++ b/src/runtime/scheduler.cpp
@@ -149,6 +149,7 @@
   for (int i = 0; i < n; ++i) {
     auto& io = *static_cast<IoSource*>(events[i].data.ptr);
     const auto bits = events[i].events;
+    io.ended_ = io.ended_ || (bits & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
     if (bits & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) {
       if (io.reader_) {
         io.reader_->fire(Wake::kReadable);
--- a/src/runtime/scheduler.h
+++ b/src/runtime/scheduler.h
@@ -47,12 +47,15 @@
   IoSource& operator=(const IoSource&) = delete;
   // Null: nobody is told. What came before is not told any more: look first, then watch.
   void watch(IoWatcher* watcher) { watcher_ = watcher; }
+  // Whether the other side has ended, or the connection broken, however much of what came before is unread.
+  bool ended() const { return ended_; }
 
  private:
   friend class Scheduler;
   friend class Wait;
   Scheduler& scheduler_;
   int fd_;
+  bool ended_ = false;
   Wait* reader_ = nullptr;
   Wait* writer_ = nullptr;
   IoWatcher* watcher_ = nullptr;
