Silent calls hold a third of C at the most; the detour is added after what scales a load

So calls that nobody answers (a zone cut off, answers lost) hold C until deadlines far off, while servers stand idle: send() and on(Outcome) count a call from its sending to its outcome, however long. Change: a call out for 1.5 times its class's slow answers is silent, and silent calls count for a third of C at the most; they leave their level's count at once.

It tells zones apart, not their servers, so it is added after.

--- a/src/balancer.cpp
+++ b/src/balancer.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <random>
+#include <set>
 #include <tuple>
 #include <unordered_map>
 #include <utility>
@@ -25,6 +27,8 @@
 constexpr double kChance = 2;             // standard deviations of what runs that an idle C leaves room for
 constexpr double kLimitGrowth = 0.2;      // widths added by one that was, while C binds: 1 in 11 may be late
 constexpr double kReserve = 4;            // requests that a tenant may send ahead of its share, at the least
+constexpr double kSilent = 1.5;           // times a class's slow answers, a call is silent; 1.5 to 4 alike
+constexpr double kMostSilent = 1.0 / 3;   // of C, that silent calls may hold
 constexpr double kFloor = 4;              // widths for each warm server, over all instances, that C keeps
 constexpr double kSmallLimit = 10;        // C in widths, under which its steps are parts of it
 constexpr double kSlow = 1.5;             // pace beyond what the weight explains that counts as trouble
@@ -82,6 +86,7 @@
     out_ = &out;
     advance(now);
     std::visit([this](const auto& e) { on(e); }, event);
+    note_silent();
     drop_overdue();
     dispatch();
     const Time sweep = std::min(now_ + std::max(s_.step, from_seconds(guess_ / 40)), next_drop_);
@@ -99,25 +104,19 @@
   }
 
  private:
-  // ---- Settings
-
   double worth(ClassId c, bool over) const { return s_.classes[c].worth * (over ? s_.over_share_worth : 1); }
 
   // A level for each distinct worth, the highest first. No class is exempt: any can be the overload.
   void make_levels() {
-    std::vector<double> worths;
-    for (ClassId c = 0; c < s_.classes.size(); ++c)
-      worths.insert(worths.end(), {worth(c, false), worth(c, true)});
-    std::sort(worths.rbegin(), worths.rend());
-    worths.erase(std::unique(worths.begin(), worths.end()), worths.end());
+    std::set<double, std::greater<>> worths;
+    for (ClassId c = 0; c < s_.classes.size(); ++c) worths.insert({worth(c, false), worth(c, true)});
     double sum = 0;
     for (double w : worths) sum += w;
     for (double w : worths) {
-      Level level;
+      Level& level = levels_.emplace_back();
       level.worth = w;
       level.shares = sum > 0 ? kAssured * w / sum : 0;
       for (auto& queues : level.queues) queues.resize(kQueues);
-      levels_.push_back(std::move(level));
     }
   }
 
@@ -139,7 +138,7 @@
   void advance(Time now) {
     const double dt = seconds(now - now_);
     if (busy_queues_ > 0) virtual_ += dt * std::min<double>(present_, limit_) / busy_queues_;
-    overrun_ = std::max(0.0, overrun_ + dt * (running_ - limit_));
+    overrun_ = std::max(0.0, overrun_ + dt * (bound() - limit_));
     mean_running_ += (running_ - mean_running_) * (1 - std::exp(-dt / (4 * typical())));
     now_ = now;
   }
@@ -150,16 +149,13 @@
 
   // ---- Tenants' shares
 
-  // Whether this request is beyond its tenant's share: judged once, at the first tier. Guards against chance
-  // marking honest traffic where an instance gets one now and then: the reserve is some requests deep.
+  // Judged once, at the first tier. The reserve is some requests deep: chance must not mark honest traffic.
   bool over_share(TenantId tenant) {
     if (s_.tier != 0 || tenant >= reserves_.size() || s_.tenants[tenant].allowance_per_s <= 0) return false;
     const double rate = s_.tenants[tenant].allowance_per_s / s_.replicas;
     Bucket& reserve = reserves_[tenant];
     reserve.fill(now_, rate, kReserve + 2 * rate);
-    if (reserve.tokens < 1) return true;
-    reserve.tokens -= 1;
-    return false;
+    return !reserve.take();
   }
 
   // ---- Arrival
@@ -179,8 +175,7 @@
     c.hold_until = std::max(c.hold_until, std::min(now_ + aim(c) / 10, r.deadline - s_.step));
     // A client that is refused unsent after half of its own time, often less than its class's, pays for it.
     if (s_.tier == 0) c.hold_until = std::min(c.hold_until, now_ + (r.deadline - now_) * 9 / 20);
-    auto& call = calls_[r.id] = std::move(c);
-    hold(call);
+    hold(calls_[r.id] = std::move(c));
     forget(r.id);
   }
 
@@ -190,8 +185,7 @@
     Queue& q = queues[c.queue];
     if (q.held.size() >= kQueueLength || c.request.deadline <= now_ || forsaken()) return refuse(c);
     if (q.running == 0 && q.held.empty()) busy_queues_ += c.width, q.start = virtual_;
-    present_ += c.width;
-    q.held.push_back(c.request.id);
+    present_ += c.width, q.held.push_back(c.request.id);
     mark_held(c, true);
   }
 
@@ -233,7 +227,7 @@
 
   // Guards against a C under one call that cannot bind: what runs over C is made up for before the next.
   bool fits(const Call& c) const {
-    return running_ + c.width <= limit_ || (running_ < limit_ && overrun_ <= 0);
+    return bound() + c.width <= limit_ || (bound() < limit_ && overrun_ <= 0);
   }
 
   void dispatch() {
@@ -321,8 +315,7 @@
       kinds_[s.entry.kind] += s.own;
       for (ClassId c = 0; c < tallies_.size(); ++c) tallies_[c] += s.tallies[c];
     });
-    Tally total;
-    for (const Tally& t : tallies_) total += t;
+    const Tally total = sum(tallies_);
     mean_errors_ = total.errors / (total.tries + 1);
     mean_weight_ = all.utils > 0 && all.rates > 0 ? all.rates / all.utils : 1;
     mean_excess_ = ranked_.size() > 0 ? 0 : 1;
@@ -337,7 +330,6 @@
       if (!usable(s) || !group_allows(c, s)) return;
       decay(s);
       double load = s.open + s.recent + s.turn;
-      if (s.entry.zone != s_.zone) load += far;
       for (const auto& a : c.attempts) load += a.server == s.entry.server ? 4 : 0;
       // Guards against a frozen server holding calls: the longer it says nothing, the more it must be behind.
       const double silence = s.open > 0 ? seconds(now_ - s.waiting_since) / (2 * typical()) : 0;
@@ -347,11 +339,11 @@
       const double blame = s_.tier + 1 == s_.tier_count ? kErrorLoad : 1;  // above, it may come from below
       load *= 1 + blame * excess_errors(s, c.request.class_id);
       load /= relative_weight(s) * warmth(s);
+      if (s.entry.zone != s_.zone) load += far;  // after what scales: it tells zones apart, not their servers
       if (load >= least) return;
       best = s.entry.server, least = load;
     };
-    // Guards against a choice that walks a whole big fleet, and against all instances running to the one
-    // server that looks idle to each.
+    // Guards against walking a whole big fleet, and against all running to one that looks idle to each.
     look_at(std::min<double>(ranked_.size(), std::ceil(reach)), few() || !anywhere(c), consider);
     return best;
   }
@@ -370,8 +362,7 @@
     const Tally& own = s.tallies[id];
     if (own.tries >= kClassTries && own.errors <= own.tries * tallies_[id].errors / (tallies_[id].tries + 1))
       return 0;
-    Tally all;
-    for (const Tally& t : s.tallies) all += t;
+    const Tally all = sum(s.tallies);
     const double usual = all.tries * mean_errors_;
     return std::max(0.0, all.errors - usual - 2 * std::sqrt(usual));
   }
@@ -421,6 +412,7 @@
     levels_[c.level].running += c.width, running_ += c.width;
     c.attempts.push_back({id, s.life, s.entry.zone, s.entry.cell, now_});
     c.out = true;
+    sent_.emplace(silent_at(c), c.request.id);
     // No time-out short of the client's: servers go on with abandoned work, which C would then not count.
     out_->push_back(Send{c.request.id, id});
   }
@@ -428,6 +420,22 @@
   // Own sends a second. Decays between sends too: guards against a rare sender's share of a cold server.
   double send_rate() const { return sends_.rate(now_, kRateSpan, began_); }
 
+  // Guards against a C full of calls that nobody will answer (lost, or cut off) where deadlines are far off.
+  double bound() const { return running_ - std::max(0.0, silent_ - kMostSilent * limit_); }
+  Time silent_at(const Call& c) const {
+    const double slow = slow_latency_[c.request.class_id];
+    return c.attempts.back().sent + from_seconds(kSilent * (slow > 0 ? slow : seconds(aim(c))));
+  }
+  void note_silent() {
+    while (!sent_.empty() && sent_.begin()->first <= now_) {
+      const auto it = calls_.find(sent_.extract(sent_.begin()).mapped());
+      if (it == calls_.end() || !it->second.out || it->second.silent) continue;
+      Call& c = it->second;
+      if (now_ < silent_at(c)) { sent_.emplace(silent_at(c), c.request.id); continue; }
+      c.silent = true, levels_[c.level].running -= c.width, silent_ += c.width;
+    }
+  }
+
   // ---- Outcomes
 
   void on(const Outcome& o) {
@@ -438,12 +446,11 @@
     c.out = false;
     Server& s = servers_[a.server];
     const double took = c.request.large ? latency_[c.request.class_id] : seconds(now_ - a.sent);
-    running_ -= c.width, levels_[c.level].running -= c.width;
+    running_ -= c.width, (c.silent ? silent_ : levels_[c.level].running) -= c.width, c.silent = false;
     Queue& q = queue(c);
     q.running -= 1, q.start -= guess_ - took;
     if (a.life == s.life) {  // what a former life did says nothing of this one, nor of the load
-      --s.open, s.waiting_since = now_;
-      observe(a.server, o.report);
+      --s.open, s.waiting_since = now_, observe(a.server, o.report);
       judge(s, c, o.result, took);
     }
     const bool never_ran =
@@ -477,8 +484,7 @@
     if (result == Result::kFull || result == Result::kTimeout || (s_.tier == 0 && ok && share > 0)) {
       limit_ = std::min(limit_, busy);
       const double lateness = ok ? std::min(1.0, share) : 1;  // graded: a long tail must not close C
-      // So far as it is this server's own, it loses traffic instead, as much. Not all of it is: where
-      // many lag each would be excused, and C stay open in a jam.
+      // What is this server's own costs it traffic instead. Not all: where many lag, C must not stay open.
       limit_ -= kLimitCut * lateness * c.width * step() / (lag(s) * lag(s));
     } else if (ok && limit_ < busy) {
       limit_ += kLimitGrowth * c.width * step();
@@ -501,17 +507,14 @@
     const bool worth_it = !spent && c.attempts.size() < s_.most_tries &&
                           now_ + from_seconds(latency_[c.request.class_id]) < c.request.deadline;
     if (worth_it && !c.maybe_ran && never_ran && now_ < c.hold_until) {
-      present_ += c.width;
-      queue(c).held.push_front(c.request.id);
+      present_ += c.width, queue(c).held.push_front(c.request.id);
       return mark_held(c, true);
     }
-    if (worth_it && c.maybe_ran && retry_tokens_ >= 1 && fits(c)) {
+    if (worth_it && c.maybe_ran && retry_tokens_ >= 1 && fits(c))
       if (const auto server = pick(c)) {
-        retry_tokens_ -= 1;
-        present_ += c.width;
+        retry_tokens_ -= 1, present_ += c.width;
         return send(c, *server);
       }
-    }
     refuse(c);
   }
 
@@ -571,9 +574,7 @@
           }
     for (RequestId id : overdue) {
       Call& c = calls_.at(id);
-      withdraw(c);
-      refuse(c);
-      forget(id);
+      withdraw(c), refuse(c), forget(id);
     }
   }
 
@@ -614,9 +615,8 @@
 
   Server& server(ServerId id) {
     while (servers_.size() <= id) {
-      restarted(servers_.emplace_back());
-      servers_.back().entry.server = static_cast<ServerId>(servers_.size() - 1);
-      servers_.back().order = uniform();
+      Server& s = servers_.emplace_back();
+      restarted(s), s.order = uniform(), s.entry.server = static_cast<ServerId>(servers_.size() - 1);
     }
     return servers_[id];
   }
@@ -647,8 +647,7 @@
     return ranked_.size() == 0 && std::any_of(servers_.begin(), servers_.end(), barred);
   }
 
-  // What was known of its former life is void. Instances must not start with the same server, nor spend their
-  // first token together.
+  // Former lives are void. Instances must not start with the same server, nor spend first tokens together.
   void restarted(Server& s) {
     static_cast<Learned&>(s) = Learned{};
     ++s.life;
@@ -701,11 +700,12 @@
   RankedSet ranked_;  // those that are up, by their order
   std::vector<Evidence> kinds_;                // by kind, summed
   std::vector<Tally> tallies_;                 // by class, summed
+  std::multimap<Time, RequestId> sent_;        // when to look whether it is silent
   std::unordered_map<RequestId, Call> calls_;  // never walked where order could tell
   double guess_ = kOpen;                       // G, seconds: the shortest aim
   double virtual_ = 0, limit_ = kOpen;         // C
   double mean_running_ = 0, overrun_ = 0;      // the latter in widths over C times seconds
-  int running_ = 0, present_ = 0, busy_queues_ = 0, warm_servers_ = 1, watch_failures_ = 0;
+  int running_ = 0, silent_ = 0, present_ = 0, busy_queues_ = 0, warm_servers_ = 1, watch_failures_ = 0;
   std::size_t held_ = 0, choices_ = 0;
   std::uint64_t lists_ = 0;
   Time next_drop_ = Time::max(), sweep_at_{0};
--- a/src/state.h
+++ b/src/state.h
@@ -40,6 +40,7 @@
   bool held = false;
   bool answered = false;
   bool streaming = false;
+  bool silent = false;    // out for so long that it may never be answered
   std::optional<std::size_t> maybe_ran;  // the first attempt that might have run
   std::vector<Attempt> attempts;
   bool out = false;  // the last attempt has no outcome yet: there is one at a time
@@ -67,6 +68,7 @@
     tokens = std::min(most, tokens + rate_per_s * seconds(now - at));
     at = now;
   }
+  bool take() { return tokens >= 1 && (tokens -= 1, true); }
 };
 
 struct Gauge {  // how much came lately, and how high; fading
@@ -103,6 +105,12 @@
   }
 };
 
+inline Tally sum(const std::vector<Tally>& tallies) {
+  Tally all;
+  for (const Tally& t : tallies) all += t;
+  return all;
+}
+
 struct Learned {  // of one life of a server
   Evidence own;
   std::vector<Tally> tallies;  // by class
--- a/tests/balancer_test.cpp
+++ b/tests/balancer_test.cpp
@@ -684,6 +684,41 @@
   EXPECT_GE(sent, 5u);  // of ten: four widths a server are kept
 }
 
+// Guards against a C that is full of calls to which no answer will come (a zone is cut off, answers get lost) for as long
+// as their deadlines are off, while the servers stand idle (the second variant's split+mass: 0.25 served of 0.96).
+TEST(Limit, GivesUpCallsThatNobodyAnswers) {
+  Settings s = basic_settings();
+  for (ClassSettings& c : s.classes) c.deadline = std::chrono::seconds(40), c.aim = std::chrono::seconds(4);
+  Driver d(s);
+  d.servers(4);
+  RequestId id = 0;
+  const auto ask = [&] {
+    const std::size_t before = d.sends.size();
+    d.give(Request{++id, kRepeatable, kNoTenant, d.now + std::chrono::seconds(40), {}});
+    return d.sends.size() > before;
+  };
+  const auto play = [&](int n, Result result) {
+    for (int i = 0; i < n; ++i) {
+      if (!ask()) continue;
+      d.pass(milliseconds(100));
+      d.outcome(id, 0, result, true);
+    }
+  };
+  play(50, Result::kOk);
+  play(1, Result::kTimeout);  // C binds from here on
+  int out = 0;
+  while (ask()) ++out;
+  ASSERT_LT(out, 200);
+  d.pass(milliseconds(1500));  // none of them is answered, and the rest is held for 2 s at the most
+  const std::size_t before = d.sends.size();
+  for (int i = 0; i < out; ++i) ask();
+  EXPECT_GE(d.sends.size(), before + static_cast<std::size_t>(out) / 2);
+  for (RequestId late = 52; late < 52 + static_cast<RequestId>(out); ++late) d.outcome(late, 0, Result::kOk);
+  EXPECT_FALSE(d.sends.empty());  // late answers count once: C still binds
+  int more = 0;
+  while (ask()) ASSERT_LT(++more, 1000);
+}
+
 // No report, however absurd, takes the weight of its server out of bounds.
 TEST(Ordinary, AbsurdReportsLeaveEachServerItsPart) {
   constexpr double kNaN = std::numeric_limits<double>::quiet_NaN(), kEndless = std::numeric_limits<double>::infinity();
