--- a/src/emulator/rules.cpp
+++ b/src/emulator/rules.cpp
@@ -2,12 +2,15 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cmath>
+
 namespace beechhill::emulator {
 namespace {
 
 constexpr std::size_t kKept = 16;
 constexpr std::size_t kTrace = 4096;      // bytes of one request's trace
-constexpr double kChance = 8;             // mean jobs that a cold node's budget leaves room for chance
+constexpr double kChance = 8;  // mean jobs that a cold node's budget leaves room for chance, or 2 roots of N and 2 if fewer
 constexpr double kAwareShare = 2.0 / 3;   // of the work, that proxies which knew of the start have sent
 
 const char* word(Result r) {
@@ -129,7 +132,9 @@
   while (window.front().at + s_.tip_after < now) window.pop_front();
   double sent = 0, known = 0;
   for (const Press& p : window) sent += p.work, known += p.aware ? p.work : 0;
-  if (sent <= s_.fall_multiple * capacity * to_s(s_.tip_after) + kChance * usual_work) return false;
+  const double most = s_.fall_multiple * capacity * to_s(s_.tip_after);
+  const double chance = usual_work > 0 ? std::min(kChance, 2 * std::sqrt(most / usual_work) + 2) : 0;
+  if (sent <= most + chance * usual_work) return false;
   if (known >= kAwareShare * sent)
     broken(now, Rule::kCold, 0,
            fmt::format("cold node {} of tier {} was sent {:.3f} core-seconds in {:.1f} s and can do {:.3f} a second",
--- a/src/runtime/mailbox.h
+++ b/src/runtime/mailbox.h
@@ -20,6 +20,13 @@
     arrived_.notify();
     return true;
   }
+  // Of the messages that are alike only this one stands, however full the box is: one such more than its capacity at the most.
+  template <typename Alike>
+  void replace(T message, const Alike& alike) {
+    std::erase_if(messages_, alike);
+    messages_.push_back(std::move(message));
+    arrived_.notify();
+  }
   T take() {  // not from an empty box
     T first = std::move(messages_.front());
     messages_.pop_front();
--- a/src/serve/serve.cpp
+++ b/src/serve/serve.cpp
@@ -112,7 +112,8 @@
   try {
     const sockaddr_in discovery = config::reload_config().discovery;
     const config::OperatorSettings settings = config::load_operator(operator_file);
-    if (!watch.post(MoveWatch{discovery})) return log_lost("reload");
+    // Guards against staying with a discovery that is gone, for good, where a call to it holds the mailbox full.
+    watch.replace(MoveWatch{discovery}, [](const WatchMessage& m) { return std::holds_alternative<MoveWatch>(m); });
     log::set_level(settings.log.level);
     if (group) group->reload(settings);
     const std::string address = net::to_string(discovery);
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -354,6 +354,87 @@
   assert(!server.readable(0ms) || !server.fill());  // and nothing of it was sent on
 }
 
+// What a backend says on a resting connection, half a line or a second answer, is nobody's answer: the next request goes on
+// another connection.
+void takes_no_word_from_a_resting_connection() {
+  for (const std::string& late : {std::string("HTTP/1.1 2"), http::write_response(200, "", "second", false)}) {
+    const Door backend;
+    const Proxy proxy(one_host(backend));
+    Wire client = proxy.client();
+    client.send(Proxy::get("a1"));
+    Wire server = backend.accept();
+    server.request();
+    server.reply(200, "", "first");
+    assert(client.answer().body == "first");
+    server.send(late);
+    assert(!server.fill());  // it has been left, and so been seen
+    client.send(Proxy::get("a2"));
+    Wire other = backend.accept();
+    other.request();
+    other.reply(200, "", "second's own");
+    assert(client.answer().body == "second's own");
+  }
+}
+
+// An answer without a length that is reset has not ended, however much of it came.
+void takes_no_reset_for_an_end() {
+  const Door backend;
+  const Proxy proxy(one_host(backend));
+  Wire client = proxy.client();
+  client.send(Proxy::post("a1", "x"));
+  {
+    Wire server = backend.accept();
+    server.request();
+    server.send("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\na1 and a part");
+    ::usleep(50'000);  // what came is read before the reset
+    const linger reset{1, 0};
+    ::setsockopt(server.fd(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  }
+  expect_status(client, 502);  // it may have run
+  assert(!backend.pending(0ms));
+}
+
+// Idle clients hold every descriptor of theirs while discovery is gone: the watch is opened again, its list taken, and a new
+// client gets its answer from a backend.
+void serves_while_idle_clients_hold_all() {
+  const Door backend;
+  Proxy proxy("[]");
+  std::vector<Wire> idle;
+  for (int i = 0; i < 300; ++i) idle.push_back(proxy.client());  // the program may hold 256 descriptors
+  proxy.say("0\r\n\r\n");
+  for (int i = 0; i < 100; ++i) idle.push_back(proxy.client());
+  proxy.watch_again();
+  proxy.list(one_host(backend), false);
+  Wire client = proxy.client();
+  client.send(Proxy::get("a1"));
+  Wire server = backend.accept();
+  server.request();
+  server.reply(200, "", "1");
+  assert(client.answer().body == "1");
+}
+
+// The end meets a faulty configuration, a move of discovery that is gone, and the order to end once more: what runs is
+// answered, and the program ends as ordered.
+void signals_meet_at_the_end() {
+  const Door backend, elsewhere;
+  Proxy proxy(one_host(backend));
+  Wire client = proxy.client();
+  client.send(Proxy::get("a1"));
+  Wire server = backend.accept();
+  server.request();
+  proxy.signal(SIGTERM);
+  while (proxy.ready() != 503) ::usleep(1000);
+  proxy.reconfigure("nowhere");
+  proxy.signal(SIGTERM);
+  proxy.reconfigure(elsewhere.address());
+  assert(proxy.watch_again(elsewhere).ends_with("from=0"));
+  proxy.say("{");
+  proxy.signal(SIGINT);
+  server.reply(200, "", "1");
+  assert(client.answer().body == "1");
+  assert(proxy.exit_status() == 0);
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -372,5 +453,9 @@
     {"empties_its_backlog", empties_its_backlog},
     {"answers_what_it_has_read_at_its_end", answers_what_it_has_read_at_its_end},
     {"leaves_unread_what_it_does_not_answer", leaves_unread_what_it_does_not_answer},
+    {"takes_no_word_from_a_resting_connection", takes_no_word_from_a_resting_connection},
+    {"takes_no_reset_for_an_end", takes_no_reset_for_an_end},
+    {"serves_while_idle_clients_hold_all", serves_while_idle_clients_hold_all},
+    {"signals_meet_at_the_end", signals_meet_at_the_end},
   });
 }
