--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -190,7 +190,7 @@
 }
 
 Task<> FrontDoor::tend() {
-  while (course_.accepts(now()) || !sockets_.empty()) {
+  while (listener_ || !sockets_.empty()) {  // whoever stands in the backlog is still to be taken
     while (!inbox_.empty()) heed(inbox_.take());
     if (course_.clears(now()))
       for (ClientConnection* socket : sockets_)
--- a/src/proxy/server_list_actor.cpp
+++ b/src/proxy/server_list_actor.cpp
@@ -104,7 +104,8 @@
   ListReader reader(most_object_);
   std::string buffer, body;
   for (;;) {
-    const bool all = catching_ && !whole;  // what stands in the socket, up to its end
+    // What stands in the socket is read up to its end; where the whole list was asked for, once that has come.
+    const bool all = catching_ && (!whole || end.lists > 0);
     const TimePoint until = all ? Clock::now() : silent + std::chrono::milliseconds(reader.unfinished() / kListRate);
     const Io io = co_await stream->read(buffer, until, all ? nullptr : &inbox_.arrived());
     if (io == Io::kNotified) {
@@ -137,7 +138,6 @@
     const std::optional<bool> said = take_lists(reader, decisions, end.lists);
     if (!said || progress == http::Progress::kBad) co_return;
     if (*said) silent = Clock::now() + kSilence, mute_ = 0;
-    if (whole && end.lists > 0) caught_up(decisions);
     end.reason = EndReason::kDiscoveryEnded;
     if (progress == http::Progress::kDone) co_return;
   }
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -232,6 +232,23 @@
   assert(!backend.pending(50ms));
 }
 
+// A gap in which discovery said nothing is over as soon as the watch has been read to its end, also on the first watch, which
+// asked for the whole list.
+void returns_where_nothing_was_said() {
+  const Door backend;
+  Proxy proxy(one_host(backend));
+  proxy.signal(SIGSTOP);
+  ::usleep(1'200'000);  // over half of the grace, and less than a watch may be silent for
+  proxy.signal(SIGCONT);
+  Wire client = proxy.client();
+  client.send(Proxy::get("a1"));
+  Wire server = backend.accept();
+  server.request();
+  server.reply(200, "", "1");
+  expect_status(client, 200);
+  assert(proxy.call("GET", "/api/telemetry").body.find("full") != std::string::npos);  // not on what it held before
+}
+
 // All that discovery's agent holds counts as told at a process's start, and another may count its versions otherwise.
 void asks_for_all_at_its_start() {
   const Proxy proxy("", "[" + host_json("s-1", "127.0.0.1:9") + "]");
@@ -445,6 +462,7 @@
     {"sends_nothing_that_was_left_while_it_waited", sends_nothing_that_was_left_while_it_waited},
     {"repeats_carry_their_window", repeats_carry_their_window},
     {"notices_a_client_behind_its_early_bytes", notices_a_client_behind_its_early_bytes},
+    {"returns_where_nothing_was_said", returns_where_nothing_was_said},
     {"asks_for_all_at_its_start", asks_for_all_at_its_start},
     {"reads_indented_lists", reads_indented_lists},
     {"leaves_a_watch_that_completes_nothing", leaves_a_watch_that_completes_nothing},
