--- a/src/proxy/peer_actor.cpp
+++ b/src/proxy/peer_actor.cpp
@@ -126,7 +126,7 @@
   return pool_.current() && now() < status_.until && status_.state == ServerState::kUp;
 }
 
-// What a attempt is that may not send. After a gap whether the backend still serves is not known: no fault of its own.
+// What an attempt is that may not send. After a gap whether the backend still serves is not known: no fault of its own.
 Result PeerActor::unsent() const { return pool_.current() ? Result::kConnectFailed : Result::kMoot; }
 
 // ---- Connections
