--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -47,14 +47,16 @@
     const Time now = proxy::now();
     return {1, 0, now + 3s, now + 3s, {}, std::make_shared<Words>(), std::move(request)};
   }
-  // Runs until the attempt's outcome is told; `meanwhile` comes once it waits for its connection.
-  Result outcome(const std::function<void()>& meanwhile) {
+  // Runs until the attempt's outcome is told; `meanwhile`, if any, comes once it waits for its connection.
+  Result outcome(const std::function<void()>& meanwhile = {}) {
     const auto run = [&]() -> runtime::Task<> {
-      runtime::Wait turn(scheduler);
-      turn.until(Clock::now());
-      co_await turn;
-      assert(decisions.empty());
-      meanwhile();
+      if (meanwhile) {
+        runtime::Wait turn(scheduler);
+        turn.until(Clock::now());
+        co_await turn;
+        assert(decisions.empty());
+        meanwhile();
+      }
       runtime::Wait wait(scheduler);
       wait.notified(decisions.arrived()).until(Clock::now() + kPatience);
       co_await wait;
@@ -68,6 +70,24 @@
   }
 };
 
+// An attempt that waits in a peer's mailbox, or for its connection, when the backend's drain is told leaves no byte there,
+// and is told as one that never ran. Of the grace nothing is used: discovery's agent may have had the word for all of it.
+void stops_attempts_of_a_draining_backend() {
+  for (const bool connecting : {false, true}) {
+    OnePeer one;
+    one.settings.drain_grace = 2s;
+    assert(one.peer.post(one.attempt(nullptr)));
+    const auto drain = [&] { assert(one.peer.post(proxy::PeerStatus{ServerState::kDraining, one.address, {}})); };
+    if (!connecting) drain();
+    assert((connecting ? one.outcome(drain) : one.outcome()) == Result::kConnectFailed);
+    if (!connecting) assert(!one.backend.pending(0ms));
+    if (connecting) {
+      Wire server = one.backend.accept();
+      assert(!server.fill() && server.buffer.empty());
+    }
+  }
+}
+
 // Its client leaves, or is answered, while the attempt waits for its connection, and no cancel comes (settings that allow
 // none, a mailbox behind which it waits): no byte goes out.
 void begins_nothing_for_a_client_that_left() {
@@ -456,6 +476,7 @@
 
 int main(int argc, char** argv) {
   return run_named(argc, argv, {
+    {"stops_attempts_of_a_draining_backend", stops_attempts_of_a_draining_backend},
     {"begins_nothing_for_a_client_that_left", begins_nothing_for_a_client_that_left},
     {"sends_no_repeat_past_its_window", sends_no_repeat_past_its_window},
     {"hears_discovery_before_it_decides", hears_discovery_before_it_decides},
--- a/tests/proxy_rules.cpp
+++ b/tests/proxy_rules.cpp
@@ -3,7 +3,6 @@
 #include <cstring>
 
 #include "proxy/decision_actor.h"
-#include "proxy/peer_actor.h"
 #include "proxy_test.h"
 
 using namespace beechhill;
@@ -461,58 +460,6 @@
   }
 }
 
-// An attempt that waits in a peer's mailbox, or for its connection, when the backend's drain is told leaves no byte there,
-// and is told as one that never ran.
-void stops_steps_of_a_draining_backend() {
-  class Words : public proxy::Payload {
-    std::string encode(const std::string& host, Duration) const override {
-      return http::write_request("GET", "/ver", host, "", "");
-    }
-  };
-  for (const bool connecting : {false, true}) {
-    const Door backend;
-    const sockaddr_in address = *net::parse_address(backend.address());
-    Settings settings;
-    settings.classes.resize(1);
-    settings.classes[0].deadline = 3s;
-    settings.drain_grace = 2s;  // of which nothing is used: discovery's agent may have had the word for all of it
-    runtime::Scheduler scheduler;
-    proxy::DecisionBox decisions(8);
-    proxy::BodyBudget bodies(1024);
-    proxy::Telemetry telemetry(1);
-    proxy::PeerPool pool(8, bodies, telemetry, settings);
-    proxy::PeerActor peer(scheduler, decisions, pool, settings, 0, address);
-    const Time now = proxy::now();
-    assert(peer.post(proxy::PeerStatus{ServerState::kUp, address, {}}));
-    assert(peer.post(proxy::Attempt{1, 0, now + 3s, now + 3s, {}, std::make_shared<Words>(), nullptr}));
-    const auto drain = [&] { assert(peer.post(proxy::PeerStatus{ServerState::kDraining, address, {}})); };
-    if (!connecting) drain();
-    const auto watch = [&]() -> runtime::Task<> {
-      if (connecting) {  // the step runs up to its wait for the connection
-        runtime::Wait turn(scheduler);
-        turn.until(Clock::now());
-        co_await turn;
-        assert(decisions.empty());
-        drain();
-      }
-      runtime::Wait wait(scheduler);
-      wait.notified(decisions.arrived()).until(Clock::now() + kPatience);
-      co_await wait;
-      scheduler.stop();
-    };
-    scheduler.spawn(watch());
-    scheduler.run();
-    assert(!decisions.empty());
-    const proxy::DecisionMessage message = decisions.take();
-    assert(std::get<proxy::AttemptDone>(message).result == Result::kConnectFailed);
-    if (!connecting) assert(!backend.pending(0ms));
-    if (connecting) {
-      Wire server = backend.accept();
-      assert(!server.fill() && server.buffer.empty());
-    }
-  }
-}
-
 // A list of many thousands of backends, in one line, is a list like any other.
 void takes_a_long_list() {
   const Door backend;
@@ -616,7 +563,6 @@
     {"lets_gone_backends_go", lets_gone_backends_go},
     {"parts_backends_at_one_address", parts_backends_at_one_address},
     {"leaves_connections_of_a_former_life", leaves_connections_of_a_former_life},
-    {"stops_steps_of_a_draining_backend", stops_steps_of_a_draining_backend},
     {"takes_a_long_list", takes_a_long_list},
     {"drops_stale_connections", drops_stale_connections},
     {"outlives_a_shortage_of_descriptors", outlives_a_shortage_of_descriptors},
