--- a/src/proxy/decision_actor.cpp
+++ b/src/proxy/decision_actor.cpp
@@ -154,9 +154,9 @@
   if (it == entries_.end()) return;
   Entry& entry = it->second;
   --entry.out;
-  if (done.result != Result::kConnectFailed && done.result != Result::kMoot) entry.written = true;
-  const bool never_ran = done.result == Result::kConnectFailed || done.result == Result::kMoot || done.result == Result::kFull;
-  if (!never_ran && !entry.may_have_run) entry.may_have_run = done.attempt;
+  const bool reached = done.result != Result::kConnectFailed && done.result != Result::kMoot;
+  entry.written = entry.written || reached;
+  if (reached && done.result != Result::kFull && !entry.may_have_run) entry.may_have_run = done.attempt;
   const ClientRequest& op = *entry.operation;
   const bool spent = op.large() && op.payload->rest()->begun();
   const std::shared_ptr<BodyPipe> rest = done.reply.rest;
--- a/tests/bodies_test.cpp
+++ b/tests/bodies_test.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-std::string one_host(const Door& backend) { return "[" + host_json("s-1", backend.address()) + "]"; }
 
 std::string pattern(std::size_t size, const std::string& id) {
   std::string bytes = id + " ";
--- a/tests/crossings_test.cpp
+++ b/tests/crossings_test.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-std::string one_host(const Door& backend) { return "[" + host_json("s-1", backend.address()) + "]"; }
 
 // ---- In one process: the actors, on a scheduler that the test stops
 
--- a/tests/proxy_rules.cpp
+++ b/tests/proxy_rules.cpp
@@ -15,7 +15,6 @@
              std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
-std::string one_host(const Door& backend) { return "[" + host_json("s-1", backend.address()) + "]"; }
 
 // What a client asked reaches a backend unchanged, and so does the body on its way back; twice on one
 // connection.
--- a/tests/proxy_test.h
+++ b/tests/proxy_test.h
@@ -127,6 +127,8 @@
   net::Fd fd_;
 };
 
+inline std::string one_host(const Door& backend) { return "[" + host_json("s-1", backend.address()) + "]"; }
+
 struct Folder {  // of the test's own, gone with it
   Folder() {
     char name[] = "/tmp/proxy_folder_XXXXXX";
