Count all buffers of requests and responses towards the memory bound

Cause: the bound of a sixth of limits.memory_mb counted only bytes in the pipes of streamed bodies. The first part of each body was kept twice beside them, in HttpPayload and encoded in BackendExchange::run. Bodies of up to 64 KiB, pipelined requests, input buffers at their largest size, parsed header fields and responses on their way to clients were not counted either.

Evidence: telemetry has `buffers`, by kind.

Why this works: each buffer that grows with clients or backends states its size to one BufferBudget. A streamed body is in its pipe from the first byte on and freed once written. At the bound whoever fills a buffer reads 4 KiB at a time, waits, or rejects the request; small requests are not affected. The bound itself is the documented one; its test is unchanged.

A streamed request whose first part was written completely is no longer retried when the backend closes before the next part; it is rejected, as before for later parts.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -61,13 +61,14 @@
 AdminServer::AdminServer(runtime::Scheduler& scheduler, const sockaddr_in& address,
                          proxy::DecisionMailbox& decisions,
                          hot_restart::OperatorCommandMailbox& operator_commands,
-                         const proxy::Telemetry& telemetry,
+                         const proxy::Telemetry& telemetry, const proxy::BufferBudget& buffers,
                          const std::vector<std::string>& class_names,
                          std::function<bool()> is_ready, ClusterHandler cluster_handler)
     : scheduler_(scheduler),
       decisions_(decisions),
       operator_commands_(operator_commands),
       telemetry_(telemetry),
+      buffers_(buffers),
       class_names_(class_names),
       is_ready_(std::move(is_ready)),
       cluster_handler_(std::move(cluster_handler)),
@@ -229,7 +230,7 @@
     status = co_await runtime::await_reply(scheduler_, reply, kReplyTimeout);
   }
   const std::string body =
-      status == 200 ? telemetry_json(telemetry_, class_names_, *reply) : std::string{};
+      status == 200 ? telemetry_json(telemetry_, buffers_, class_names_, *reply) : std::string{};
   std::string response = write_last_response(status, kJsonHeader, body);
   co_return response;
 }
--- a/src/admin/admin_server.h
+++ b/src/admin/admin_server.h
@@ -13,6 +13,7 @@
 #include "admin/command.h"
 #include "hot_restart/hot_restart_actor.h"
 #include "net/socket.h"
+#include "proxy/buffer_budget.h"
 #include "proxy/messages.h"
 #include "proxy/telemetry.h"
 
@@ -36,8 +37,9 @@
   AdminServer(runtime::Scheduler& scheduler, const sockaddr_in& address,
               proxy::DecisionMailbox& decisions,
               hot_restart::OperatorCommandMailbox& operator_commands,
-              const proxy::Telemetry& telemetry, const std::vector<std::string>& class_names,
-              std::function<bool()> is_ready, ClusterHandler cluster_handler = {});
+              const proxy::Telemetry& telemetry, const proxy::BufferBudget& buffers,
+              const std::vector<std::string>& class_names, std::function<bool()> is_ready,
+              ClusterHandler cluster_handler = {});
 
   /// Returns the listening address, with the port that the system chose if port 0 was given.
   sockaddr_in address() const { return listener_.address(); }
@@ -68,6 +70,7 @@
   proxy::DecisionMailbox& decisions_;
   hot_restart::OperatorCommandMailbox& operator_commands_;
   const proxy::Telemetry& telemetry_;
+  const proxy::BufferBudget& buffers_;
   const std::vector<std::string>& class_names_;
   const std::function<bool()> is_ready_;
   const ClusterHandler cluster_handler_;
--- a/src/admin/telemetry_json.cpp
+++ b/src/admin/telemetry_json.cpp
@@ -3,8 +3,30 @@
 #include <json/json.h>
 
 namespace beechhill::admin {
+namespace {
 
-std::string telemetry_json(const proxy::Telemetry& telemetry,
+using proxy::BufferBudget;
+using proxy::BufferKind;
+
+// Numbers of bytes.
+Json::Value buffers_json(const BufferBudget& buffers) {
+  Json::Value root(Json::objectValue);
+  root["limit"] = Json::UInt64(buffers.limit());
+  root["used"] = Json::UInt64(buffers.used());
+  root["peak"] = Json::UInt64(buffers.peak());
+  root["client_input"] = Json::UInt64(buffers.used(BufferKind::kClientInput));
+  root["request"] = Json::UInt64(buffers.used(BufferKind::kRequest));
+  root["upload"] = Json::UInt64(buffers.used(BufferKind::kUpload));
+  root["backend_output"] = Json::UInt64(buffers.used(BufferKind::kBackendOutput));
+  root["backend_input"] = Json::UInt64(buffers.used(BufferKind::kBackendInput));
+  root["response"] = Json::UInt64(buffers.used(BufferKind::kResponse));
+  root["download"] = Json::UInt64(buffers.used(BufferKind::kDownload));
+  return root;
+}
+
+}  // namespace
+
+std::string telemetry_json(const proxy::Telemetry& telemetry, const proxy::BufferBudget& buffers,
                            const std::vector<std::string>& class_names,
                            const runtime::PendingReply& endpoints) {
   Json::Value completed(Json::objectValue);
@@ -20,6 +42,7 @@
   root["completed"] = completed;
   root["rejected"] = rejected;
   root["failed"] = failed;
+  root["buffers"] = buffers_json(buffers);
   root["upstream_requests"] = Json::UInt64(telemetry.upstream_requests());
   root["pending"] = Json::UInt64(telemetry.pending_requests());
   root["members"] = Json::UInt64(endpoints.endpoint_count);
--- a/src/admin/telemetry_json.h
+++ b/src/admin/telemetry_json.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "proxy/buffer_budget.h"
 #include "proxy/telemetry.h"
 #include "runtime/pending_reply.h"
 
@@ -11,7 +12,7 @@
 
 /// Returns one line of JSON with a line end. `class_names` is indexed by ClassId; `endpoints` is
 /// the completed reply to GetEndpointCounts.
-std::string telemetry_json(const proxy::Telemetry& telemetry,
+std::string telemetry_json(const proxy::Telemetry& telemetry, const proxy::BufferBudget& buffers,
                            const std::vector<std::string>& class_names,
                            const runtime::PendingReply& endpoints);
 
--- a/src/bootstrap/server.cpp
+++ b/src/bootstrap/server.cpp
@@ -42,8 +42,8 @@
       signals_(std::move(signals)),
       descriptors_(allocate_descriptors(config)),
       telemetry_(config.named_settings.classes.size()),
-      body_budget_(body_memory_bytes(config, false)),
-      backend_pool_(descriptors_.for_backends(), body_budget_, telemetry_,
+      buffer_budget_(body_memory_bytes(config, false)),
+      backend_pool_(descriptors_.for_backends(), buffer_budget_, telemetry_,
                     config.named_settings.settings),
       endpoint_watch_(scheduler_, config),
       snapshot_store_(std::move(restored.snapshot_store)),
@@ -57,7 +57,7 @@
       discovery_deadline_(runtime::Clock::now() + kDiscoveryTimeout),
       await_discovery_(has_other_process(restored)),
       listener_(
-          scheduler_, decisions_.inbox(), config, telemetry_, body_budget_,
+          scheduler_, decisions_.inbox(), config, telemetry_, buffer_budget_,
           descriptors_.for_clients(), [this] { return may_serve(); }, restored.drained),
       hot_restart_(scheduler_, std::move(restored.shared_directory), decisions_.inbox(),
                    listener_.inbox(),
@@ -99,7 +99,7 @@
     return listener_.is_serving() && hot_restart_.readiness_published();
   };
   admin_server_.emplace(scheduler_, *config_.admin, decisions_.inbox(), hot_restart_.inbox(),
-                        telemetry_, config_.named_settings.classes, is_ready,
+                        telemetry_, buffer_budget_, config_.named_settings.classes, is_ready,
                         cluster_ ? cluster_->admin_handler() : admin::ClusterHandler{});
   scheduler_.spawn(admin_server_->run());
 }
@@ -127,7 +127,7 @@
   const DescriptorAllocation allocation = descriptors_.shared_with(others);
   listener_.descriptor_budget().set_limit(allocation.for_clients());
   backend_pool_.descriptor_budget.set_limit(allocation.for_backends());
-  body_budget_.set_limit(body_memory_bytes(config_, others.alive > 0));
+  buffer_budget_.set_limit(body_memory_bytes(config_, others.alive > 0));
   const std::size_t used = listener_.descriptor_budget().used() +
                            backend_pool_.descriptor_budget.used() + reserved_descriptors();
   return {listener_.is_serving(), static_cast<std::uint32_t>(used)};
--- a/src/bootstrap/server.h
+++ b/src/bootstrap/server.h
@@ -68,7 +68,7 @@
   // destroyed before they are.
   runtime::Scheduler scheduler_;
   proxy::Telemetry telemetry_;
-  proxy::BodyBudget body_budget_;
+  proxy::BufferBudget buffer_budget_;
   proxy::BackendPool backend_pool_;
   proxy::EndpointWatchActor endpoint_watch_;
   std::unique_ptr<snapshot::SnapshotStore> snapshot_store_;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -42,4 +42,13 @@
   return minor_version >= 1 || headers.has_token("Connection", "keep-alive");
 }
 
+std::size_t Message::memory_bytes() const {
+  std::size_t bytes = method.capacity() + target.capacity() + body.capacity() +
+                      headers.fields.capacity() * sizeof(headers.fields.front());
+  for (const auto& [name, value] : headers.fields) {
+    bytes += name.capacity() + value.capacity();
+  }
+  return bytes;
+}
+
 }  // namespace beechhill::http
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -17,6 +17,8 @@
 inline constexpr std::size_t kMaxStreamedBodyBytes = std::size_t{40} * 1024 * 1024;
 /// Maximum size in bytes of the empty lines before a request (RFC 9112, section 2.2).
 inline constexpr std::size_t kMaxEmptyLineBytes = 64;
+/// Maximum number of header fields, as each takes memory of its own beside its bytes.
+inline constexpr std::size_t kMaxHeaderFields = 256;
 /// Maximum number of 1xx responses before the final response.
 inline constexpr std::size_t kMaxInterimResponses = 8;
 
@@ -46,6 +48,8 @@
 
   /// Returns whether the connection persists after this message (RFC 9112, section 9.3).
   bool keep_alive() const;
+  /// Returns the number of bytes of memory that the message occupies.
+  std::size_t memory_bytes() const;
 };
 
 }  // namespace beechhill::http
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -15,6 +15,22 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
+// A buffered body grows by a quarter of its size, and by this many bytes at least. std::string
+// would double it, so that a body could take twice its size in memory.
+constexpr std::size_t kMinBodyGrowthBytes = std::size_t{4} * 1024;
+constexpr std::size_t kBodyGrowthDivisor = 4;
+
+void append_to_body(std::string& body, std::string_view bytes) {
+  const std::size_t size = body.size() + bytes.size();
+  if (!body.empty() && size > body.capacity()) {
+    std::string grown;
+    grown.reserve(size + std::max(kMinBodyGrowthBytes, size / kBodyGrowthDivisor));
+    grown.append(body);
+    body.swap(grown);
+  }
+  body.append(bytes);
+}
+
 bool is_ascii(std::string_view text) {
   return std::none_of(text.begin(), text.end(),
                       [](char c) { return (static_cast<unsigned char>(c) & 0x80) != 0; });
@@ -184,6 +200,10 @@
     return kind_ != Kind::kRequest && !equals_ignoring_case(name, "Content-Length") &&
            !equals_ignoring_case(name, "Transfer-Encoding");
   }
+  if (message_.headers.fields.size() >= kMaxHeaderFields) {
+    fail(431);
+    return false;
+  }
   message_.headers.fields.emplace_back(name, value);
   return true;
 }
@@ -253,12 +273,12 @@
     }
   } else if (framing_ == Framing::kLength) {
     const std::size_t available = std::min(body_bytes_left_, buffer.size());
-    body.append(buffer, 0, available);
+    append_to_body(body, std::string_view(buffer).substr(0, available));
     buffer.erase(0, available);
     body_bytes_left_ -= available;
     progress = body_bytes_left_ == 0 ? Progress::kComplete : Progress::kNeedsMore;
   } else {
-    body.append(buffer);
+    append_to_body(body, buffer);
     buffer.clear();
   }
   decoded_bytes_ += body.size() - size_before;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <utility>
@@ -19,8 +20,6 @@
 
 namespace {
 
-// Size in bytes of the stack buffer of one read.
-constexpr std::size_t kReadChunkBytes = 16'384;
 // Maximum number of bytes that one call discards.
 constexpr std::size_t kDiscardChunkBytes = 1'048'576;
 // Maximum number of bytes that one stream reads before it yields to other coroutines.
@@ -64,9 +63,11 @@
 // Reads the available bytes. Returns nullopt if the caller has to wait. Separate from read() to
 // keep the read buffer out of the coroutine frame.
 std::optional<IoResult> Stream::read_now(std::string& buffer) {
-  std::array<char, kReadChunkBytes> chunk;
+  std::array<char, kMaxReadBytes> chunk;
+  const std::size_t limit =
+      max_read_bytes_ ? std::min(*max_read_bytes_, chunk.size()) : chunk.size();
   for (;;) {
-    const ssize_t size = ::recv(fd_.get(), chunk.data(), chunk.size(), 0);
+    const ssize_t size = ::recv(fd_.get(), chunk.data(), limit, 0);
     if (size > 0) {
       buffer.append(chunk.data(), static_cast<std::size_t>(size));
       bytes_this_turn_ += static_cast<std::size_t>(size);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -3,6 +3,7 @@
 
 #include <netinet/in.h>
 
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,6 +30,9 @@
 /// even after the deadline.
 class Stream {
  public:
+  /// Maximum number of bytes that read() appends at a time.
+  static constexpr std::size_t kMaxReadBytes = std::size_t{16} * 1024;
+
   Stream(runtime::Scheduler& scheduler, FileDescriptor fd);
 
   /// Connects to `to`. Returns null on failure or at the deadline.
@@ -48,6 +52,10 @@
   /// the peer need not have received them.
   runtime::Task<IoResult> write(std::string_view bytes, runtime::TimePoint deadline);
 
+  /// Limits each later read() to `max_bytes` at a time. The referenced value may change at any time
+  /// and must outlive the stream. Without a call, the limit is kMaxReadBytes.
+  void limit_reads(const std::size_t& max_bytes) { max_read_bytes_ = &max_bytes; }
+
   /// Returns whether the peer of an idle connection has closed it or sent unsolicited bytes. Does
   /// not wait, and leaves the bytes unread.
   bool stale();
@@ -72,6 +80,8 @@
   runtime::Scheduler& scheduler_;
   FileDescriptor fd_;
   runtime::IoSource io_;
+  /// Null if reads are not limited.
+  const std::size_t* max_read_bytes_ = nullptr;
   /// Number of bytes read since a read() of this stream last waited.
   std::size_t bytes_this_turn_ = 0;
 };
--- a/src/proxy/backend_actor.cpp
+++ b/src/proxy/backend_actor.cpp
@@ -236,6 +236,7 @@
     connection->end_reason = EndReason::kConnectFailed;
     co_return nullptr;
   }
+  connection->stream->limit_reads(pool_.buffer_budget.max_read_bytes());
   co_return connection;
 }
 
--- a/src/proxy/backend_exchange.cpp
+++ b/src/proxy/backend_exchange.cpp
@@ -17,6 +17,7 @@
 using runtime::Clock;
 using runtime::now;
 using runtime::Task;
+using runtime::TimePoint;
 using runtime::to_time_point;
 
 namespace {
@@ -54,12 +55,7 @@
 
 Task<ExchangeResult> BackendExchange::run(Time write_deadline, Time deadline) {
   ++connection_.requests;
-  const std::string bytes = payload_.encode(net::to_string(connection_.address), deadline - now());
-  IoResult written = co_await connection_.stream->write(bytes, to_time_point(write_deadline));
-  if (written == IoResult::kOk && payload_.remaining_body()) {
-    written = co_await write_remaining_body();
-    deadline = now() + attempt_->response_timeout;
-  }
+  const IoResult written = co_await write_request(write_deadline, deadline);
   if (written != IoResult::kOk) {  // The last byte was not sent, so the request was not executed.
     connection_.end_reason = EndReason::kReset;
     co_return std::move(result_);
@@ -68,42 +64,88 @@
   if (!is_health_check) {
     pool_.telemetry.count_upstream_request();
   }
+  if (payload_.streamed_body()) {
+    deadline = now() + attempt_->response_timeout;
+  }
   co_await receive(deadline);
   co_return std::move(result_);
 }
 
-// Writes the rest of a streamed request as fast as its client sends it. Any result other than kOk
-// means that the last byte was not sent. Writing ends early if the backend closes the connection or
-// responds before it has received the whole request.
-Task<IoResult> BackendExchange::write_remaining_body() {
+// Writes the request. Any result other than kOk means that the last byte was not sent.
+Task<IoResult> BackendExchange::write_request(Time write_deadline, Time deadline) {
   net::Stream& stream = *connection_.stream;
-  BodyPipe& pipe = *payload_.remaining_body();
-  for (;;) {
-    std::string bytes;
+  const std::string head = payload_.encode(net::to_string(connection_.address), deadline - now());
+  output_memory_.set(head.capacity());
+  IoResult written = co_await stream.write(head, to_time_point(write_deadline));
+  const std::string_view body = payload_.body();
+  if (written == IoResult::kOk && !body.empty()) {
+    written = co_await stream.write(body, to_time_point(write_deadline));
+  }
+  if (written == IoResult::kOk && payload_.streamed_body()) {
+    written = co_await write_streamed_body(write_deadline);
+  }
+  output_memory_.set(0);
+  co_return written;
+}
+
+// Writes a streamed body as fast as its client sends it. Any result other than kOk means that the
+// last byte was not sent. Writing ends early if the backend closes the connection or responds
+// before it has received the whole request. If not even the first part can be written, it is put
+// back, so that another attempt can send it.
+Task<IoResult> BackendExchange::write_streamed_body(Time write_deadline) {
+  BodyPipe& pipe = *payload_.streamed_body();
+  TimePoint part_deadline = to_time_point(write_deadline);
+  for (bool is_first = !pipe.reading_started();; is_first = false) {
     const bool last = pipe.is_complete();
-    if (!pipe.empty()) {
-      bytes = payload_.frame_body(pipe.take());
-    }
-    if (last) {
-      bytes += payload_.frame_body_end();
+    std::string part = pipe.take();
+    const IoResult io = co_await write_body_part(part, last, part_deadline);
+    if (io != IoResult::kOk && is_first) {
+      pipe.put_back(std::move(part));
     }
-    const IoResult io = co_await stream.write(bytes, Clock::now() + kStreamTimeout);
+    release_memory(part);
+    pipe.release();
     if (io != IoResult::kOk || last) {
       co_return io;
     }
     if (pipe.is_aborted()) {
       co_return IoResult::kError;
     }
-    if (!pipe.empty() || pipe.is_complete()) {
-      continue;
+    if (co_await await_body_part(pipe) != IoResult::kOk) {
+      co_return IoResult::kError;
     }
+    part_deadline = Clock::now() + kStreamTimeout;
+  }
+}
+
+// Writes a part of a streamed body, and the body's end behind the last part.
+Task<IoResult> BackendExchange::write_body_part(const std::string& part, bool last,
+                                                TimePoint deadline) {
+  std::string framed;
+  if (payload_.frames_body() && !part.empty()) {
+    framed = payload_.frame_body(part);
+  }
+  if (last) {
+    framed += payload_.frame_body_end();
+  }
+  output_memory_.set(framed.capacity());
+  const std::string_view bytes = framed.empty() ? std::string_view(part) : framed;
+  const IoResult io = co_await connection_.stream->write(bytes, deadline);
+  output_memory_.set(0);
+  co_return io;
+}
+
+// Waits until the pipe has a part or its end. Any result other than kOk means that the backend has
+// closed the connection or responded.
+Task<IoResult> BackendExchange::await_body_part(BodyPipe& pipe) {
+  while (pipe.empty() && !pipe.is_complete() && !pipe.is_aborted()) {
     std::string early_response;
-    const IoResult early =
-        co_await stream.read(early_response, Clock::now() + kStreamTimeout, &pipe.data_available());
+    const IoResult early = co_await connection_.stream->read(
+        early_response, Clock::now() + kStreamTimeout, &pipe.data_available());
     if (early != IoResult::kNotified && early != IoResult::kTimeout) {
       co_return IoResult::kError;
     }
   }
+  co_return IoResult::kOk;
 }
 
 // Receives the response. Accepts only a complete response to this request. After anything else the
@@ -137,6 +179,7 @@
     http::Progress progress = http::Progress::kNeedsMore;
     if (io == IoResult::kOk) {
       progress = parse_buffer();
+      input_memory_.set(buffer_.capacity() + parser_.message().memory_bytes());
     } else if (io == IoResult::kEof && parser_.head_done()) {
       progress = parser_.end();
     }
@@ -156,13 +199,20 @@
 
 http::Progress BackendExchange::parse_buffer() {
   const http::Progress progress = parser_.feed_part(buffer_);
-  const bool states_large = parser_.length().value_or(0) > http::kMaxBufferedBodyBytes;
-  const std::size_t max_buffered = states_large ? kFirstPartBytes : http::kMaxBufferedBodyBytes;
   streams_response_ =
-      progress == http::Progress::kNeedsMore && parser_.message().body.size() > max_buffered;
+      progress == http::Progress::kNeedsMore && parser_.message().body.size() > max_buffered_body();
   return progress;
 }
 
+// Returns the size in bytes above which a response is forwarded as it arrives.
+std::size_t BackendExchange::max_buffered_body() const {
+  if (!pool_.buffer_budget.has_capacity()) {
+    return BufferBudget::kGuaranteedBytes;
+  }
+  const bool states_large = parser_.length().value_or(0) > http::kMaxBufferedBodyBytes;
+  return states_large ? kFirstPartBytes : http::kMaxBufferedBodyBytes;
+}
+
 void BackendExchange::record_failure(IoResult io, bool response_started) {
   if (io == IoResult::kEof || io == IoResult::kError) {
     connection_.end_reason = EndReason::kReset;
@@ -196,15 +246,24 @@
   if (const std::string* type = message.headers.find("Content-Type")) {
     result_.response.content_type = *type;
   }
+  result_.response.memory = BufferBudget::Usage(pool_.buffer_budget, BufferKind::kResponse,
+                                                result_.response.body.capacity());
+  release_input();
   return true;
 }
 
+// Frees the memory of the bytes that have been parsed.
+void BackendExchange::release_input() {
+  buffer_.shrink_to_fit();
+  input_memory_.set(buffer_.capacity() + parser_.message().memory_bytes());
+}
+
 // Posts the outcome with the first part of a streamed response and forwards the rest until the
 // response ends. The request's deadline does not limit the rest. Returns whether the response is
 // complete.
 Task<bool> BackendExchange::stream_response() {
   runtime::Notifier capacity;
-  const auto pipe = std::make_shared<BodyPipe>(pool_.body_budget);
+  const auto pipe = std::make_shared<BodyPipe>(pool_.buffer_budget, BufferKind::kDownload);
   const BodyPipe::WriterGuard writer_guard(pipe.get(), capacity);
   AttemptCompleted outcome{attempt_->request_id, attempt_->attempt_number, Result::kOk,
                            result_.load_report, std::move(result_.response)};
@@ -228,6 +287,7 @@
   std::string bytes;
   while (!pipe.reader_closed()) {
     progress = parser_.feed_body(buffer_, bytes);
+    release_input();
     if (progress == http::Progress::kMalformed) {
       break;
     }
--- a/src/proxy/backend_exchange.h
+++ b/src/proxy/backend_exchange.h
@@ -40,7 +40,9 @@
         pool_(pool),
         connection_(connection),
         payload_(payload),
-        attempt_(attempt) {}
+        attempt_(attempt),
+        input_memory_(pool.buffer_budget, BufferKind::kBackendInput),
+        output_memory_(pool.buffer_budget, BufferKind::kBackendOutput) {}
 
   /// The request, or the first part of a streamed one, must be written by `write_deadline`. The
   /// response, or the first part of a streamed one, must be received by `deadline`. For a streamed
@@ -54,10 +56,16 @@
  private:
   enum class ReadOutcome { kDone, kStreaming, kFailed };
 
-  runtime::Task<net::IoResult> write_remaining_body();
+  runtime::Task<net::IoResult> write_request(Time write_deadline, Time deadline);
+  runtime::Task<net::IoResult> write_streamed_body(Time write_deadline);
+  runtime::Task<net::IoResult> write_body_part(const std::string& part, bool last,
+                                               runtime::TimePoint deadline);
+  runtime::Task<net::IoResult> await_body_part(BodyPipe& pipe);
   runtime::Task<> receive(Time deadline);
   runtime::Task<ReadOutcome> read_first_part(Time deadline);
   http::Progress parse_buffer();
+  std::size_t max_buffered_body() const;
+  void release_input();
   void record_failure(net::IoResult io, bool response_started);
   bool accept_response();
   runtime::Task<bool> stream_response();
@@ -71,6 +79,9 @@
   const AttemptRequest* attempt_;
   ExchangeResult result_;
   std::string buffer_;
+  /// The memory of `buffer_` and of the response that `parser_` holds.
+  BufferBudget::Usage input_memory_;
+  BufferBudget::Usage output_memory_;
   http::Parser parser_{http::Parser::Kind::kResponse};
   /// Whether the response is too large to be buffered and is forwarded as it arrives.
   bool streams_response_ = false;
--- a/src/proxy/backend_pool.h
+++ b/src/proxy/backend_pool.h
@@ -17,9 +17,9 @@
 /// State shared by the actors of all backends: the budget of descriptors for connections to
 /// backends, and the idle connections. Must outlive the actors.
 struct BackendPool {
-  BackendPool(std::size_t descriptors, BodyBudget& body_budget, Telemetry& telemetry,
+  BackendPool(std::size_t descriptors, BufferBudget& buffer_budget, Telemetry& telemetry,
               const Settings& settings)
-      : descriptor_budget(descriptors), body_budget(body_budget), telemetry(telemetry) {
+      : descriptor_budget(descriptors), buffer_budget(buffer_budget), telemetry(telemetry) {
     for (const ClassSettings& class_settings : settings.classes) {
       max_response_gap = std::min(max_response_gap, class_settings.deadline / kResponseGapDivisor);
     }
@@ -44,7 +44,7 @@
   }
 
   DescriptorBudget descriptor_budget;
-  BodyBudget& body_budget;
+  BufferBudget& buffer_budget;
   Telemetry& telemetry;
   /// The idle connections of each backend, in no particular order.
   std::vector<IdleConnections*> idle_connections;
--- a/src/proxy/body_pipe.h
+++ b/src/proxy/body_pipe.h
@@ -6,35 +6,18 @@
 #include <string>
 #include <utility>
 
+#include "proxy/buffer_budget.h"
 #include "runtime/scheduler.h"
 
 namespace beechhill::proxy {
 
-/// Limits the number of bytes buffered by all pipes together. While the limit is reached, new
-/// streamed requests are rejected and each pipe buffers less.
-class BodyBudget {
- public:
-  explicit BodyBudget(std::size_t bytes) : limit_(bytes) {}
-
-  bool has_capacity() const { return used_ < limit_; }
-  void set_limit(std::size_t bytes) { limit_ = bytes; }
-
- private:
-  friend class BodyPipe;
-  std::size_t limit_;
-  std::size_t used_ = 0;
-};
-
 /// The buffer of one body. `budget` must outlive the pipe.
 class BodyPipe {
  public:
   /// Number of buffered bytes at which the pipe is full. The last push() may exceed this number.
   static constexpr std::size_t kMaxBufferedBytes = std::size_t{64} * 1024;
-  /// Number of buffered bytes at which the pipe is full while the budget has no capacity.
-  static constexpr std::size_t kMaxBufferedBytesWhenOverBudget = std::size_t{16} * 1024;
 
-  explicit BodyPipe(BodyBudget& budget) : budget_(budget) {}
-  ~BodyPipe() { budget_.used_ -= bytes_.size(); }
+  BodyPipe(BufferBudget& budget, BufferKind kind) : budget_(budget), usage_(budget, kind) {}
   BodyPipe(const BodyPipe&) = delete;
   BodyPipe& operator=(const BodyPipe&) = delete;
 
@@ -65,14 +48,20 @@
     BodyPipe* pipe_;
   };
 
+  /// Whether the writer must wait. While the budget has no capacity, the pipe holds only
+  /// BufferBudget::kGuaranteedBytes, including the bytes that the reader has not released.
   bool full() const {
-    return bytes_.size() >=
-           (budget_.has_capacity() ? kMaxBufferedBytes : kMaxBufferedBytesWhenOverBudget);
+    return budget_.has_capacity() ? bytes_.size() >= kMaxBufferedBytes
+                                  : bytes_.size() + taken_ >= BufferBudget::kGuaranteedBytes;
   }
   /// Appends `bytes` to the pipe and leaves `bytes` empty.
   void push(std::string& bytes) {
-    budget_.used_ += bytes.size();
-    bytes_ += std::exchange(bytes, {});
+    if (bytes_.empty()) {
+      bytes_ = std::exchange(bytes, {});
+    } else {
+      bytes_ += std::exchange(bytes, {});
+    }
+    update_usage();
     data_available_.notify();
   }
   /// Marks the body as complete.
@@ -106,13 +95,27 @@
   };
 
   bool empty() const { return bytes_.empty(); }
-  /// Removes and returns all buffered bytes.
+  /// Removes and returns all buffered bytes. They count as buffered until release(), which must be
+  /// called when their memory has been freed.
   std::string take() {
     reading_started_ = true;
-    budget_.used_ -= bytes_.size();
+    taken_ = bytes_.capacity();
     notify_writer();
     return std::exchange(bytes_, {});
   }
+  void release() {
+    taken_ = 0;
+    update_usage();
+    notify_writer();
+  }
+  /// Puts the result of the first take() back, so that the body can be read from its start again.
+  /// Must be called before release().
+  void put_back(std::string bytes) {
+    bytes_.insert(0, bytes);
+    bytes = {};
+    reading_started_ = false;
+    release();
+  }
   /// Whether the writer has called finish(); the pipe may still hold bytes.
   bool is_complete() const { return state_ == State::kComplete; }
   bool is_aborted() const { return state_ == State::kAborted; }
@@ -126,17 +129,21 @@
  private:
   enum class State { kOpen, kComplete, kAborted };
 
+  void update_usage() { usage_.set(bytes_.capacity() + taken_); }
   void notify_writer() {
     if (capacity_available_) {
       capacity_available_->notify();
     }
   }
 
-  BodyBudget& budget_;
+  BufferBudget& budget_;
+  BufferBudget::Usage usage_;
   /// The writer's notifier; null if there is no writer.
   runtime::Notifier* capacity_available_ = nullptr;
   runtime::Notifier data_available_;
   std::string bytes_;
+  /// Memory in bytes of the result of take() until release().
+  std::size_t taken_ = 0;
   State state_ = State::kOpen;
   bool reading_started_ = false;
   bool reader_closed_ = false;
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -49,12 +49,16 @@
 // served.
 constexpr std::size_t kMaxPipelinedBytes = http::kMaxHeadBytes + http::kMaxBufferedBodyBytes;
 
+// Number of bytes of the input buffer that may be unused, so that small requests need no new
+// memory.
+constexpr std::size_t kMaxUnusedInputBytes = 1024;
+
 bool is_health_check(const http::Message& message) {
   return message.method == "GET" && message.target == "/health/ready";
 }
 
 bool is_uploading(const ClientRequest& request) {
-  const BodyPipe* upload = request.payload->remaining_body().get();
+  const BodyPipe* upload = request.payload->streamed_body().get();
   return upload && !upload->is_complete();
 }
 
@@ -66,7 +70,9 @@
       slot_(context.descriptor_budget),
       remote_(net::to_string(remote)),
       stream_(context.scheduler, std::move(fd)),
+      input_memory_(context.buffer_budget, BufferKind::kClientInput),
       position_(context.connections.insert(context.connections.end(), this)) {
+  stream_.limit_reads(context.buffer_budget.max_read_bytes());
 }
 
 ClientConnection::~ClientConnection() {
@@ -103,6 +109,8 @@
     open = false;
     if (outcome == ReadOutcome::kMalformed) {
       co_await reject(parser.error_status(), EndReason::kBadRequest);
+    } else if (outcome == ReadOutcome::kBuffersFull) {
+      co_await reject(503, EndReason::kBuffersFull);
     } else {
       co_await reject(408, EndReason::kReadTimeout);
     }
@@ -129,9 +137,11 @@
 // ---- Reading requests
 
 // Reads a complete request, or the head and first part of one whose body is streamed because it
-// exceeds http::kMaxBufferedBodyBytes.
+// exceeds http::kMaxBufferedBodyBytes. If the buffers are full, reading also ends early:
+// answer_request() then rejects the request.
 Task<ClientConnection::ReadOutcome> ClientConnection::read_request(http::Parser& parser) {
   received_bytes_ = buffer_.size();
+  release_input_buffer();
   http::Progress progress = parse_buffer(parser);
   const bool started =
       progress != http::Progress::kNeedsMore || !buffer_.empty() || parser.head_done();
@@ -165,6 +175,9 @@
     progress = parse_buffer(parser);
   }
   enter_phase(Phase::kActive);
+  if (streams_body_ && !parser.head_done()) {
+    co_return ReadOutcome::kBuffersFull;
+  }
   // If the bytes after a request cannot begin another one, the request is rejected, because its
   // stated length is wrong.
   const bool followed_by_request =
@@ -175,11 +188,27 @@
 
 http::Progress ClientConnection::parse_buffer(http::Parser& parser) {
   const http::Progress progress = parser.feed_part(buffer_);
-  streams_body_ = progress == http::Progress::kNeedsMore &&
-                  parser.message().body.size() > http::kMaxBufferedBodyBytes;
+  const http::Message& message = parser.message();
+  input_memory_.set(buffer_.capacity() + message.memory_bytes());
+  const bool too_large = message.body.size() > http::kMaxBufferedBodyBytes || may_not_grow();
+  streams_body_ = progress == http::Progress::kNeedsMore && too_large;
   return progress;
 }
 
+// Whether the buffers are full and the request that is being received may not take more memory.
+bool ClientConnection::may_not_grow() const {
+  return !context_.buffer_budget.has_capacity() &&
+         input_memory_.bytes() > BufferBudget::kGuaranteedBytes;
+}
+
+// Frees the memory of received bytes that have been parsed.
+void ClientConnection::release_input_buffer() {
+  if (buffer_.capacity() - buffer_.size() > kMaxUnusedInputBytes) {
+    buffer_.shrink_to_fit();
+  }
+  input_memory_.set(buffer_.capacity());
+}
+
 // Responds to an Expect header, if there is one. Returns an outcome if the rest of the request must
 // not be read.
 Task<std::optional<ClientConnection::ReadOutcome>> ClientConnection::handle_expectation(
@@ -255,10 +284,10 @@
     co_return co_await answer_health_check(close);
   }
   const bool client_decodes_chunks = message.minor_version >= 1;
-  const bool over_budget = streams_body_ && !context_.body_budget.has_capacity();
+  const bool over_budget = streams_body_ && !context_.buffer_budget.has_capacity();
   std::shared_ptr<BodyPipe> upload;
   if (streams_body_) {
-    upload = std::make_shared<BodyPipe>(context_.body_budget);
+    upload = std::make_shared<BodyPipe>(context_.buffer_budget, BufferKind::kUpload);
   }
   const ClientRequestParser::ParsedRequest parsed = context_.request_parser.parse(
       message, parser.length(), upload, context_.lifecycle.response_deadline());
@@ -268,6 +297,9 @@
   }
   ++requests_;
   const auto request = std::get<std::shared_ptr<ClientRequest>>(parsed);
+  request->payload_memory = BufferBudget::Usage(context_.buffer_budget, BufferKind::kRequest,
+                                                request->payload->memory_bytes());
+  release_input_buffer();
   Telemetry::RequestScope scope(context_.telemetry, request->class_id);
   const BodyPipe::WriterGuard writer_guard(upload.get(), request->response_ready);
   DecisionMessage received(RequestReceived{request});
@@ -281,7 +313,7 @@
   discard_input_ = upload && !upload->is_complete();
   const bool last = close || discard_input_ || closes_after_response();
   // NOLINTNEXTLINE(bugprone-unchecked-optional-access): every path to this line sets `response`
-  const ClientResponse& response = *request->response;
+  ClientResponse& response = *request->response;
   co_return co_await send_response(response, last, client_decodes_chunks, scope);
 }
 
@@ -307,7 +339,7 @@
       request->response = Failure{};
     }
     request->abandoned = outcome != WaitOutcome::kOverdue;
-    if (BodyPipe* upload = request->payload->remaining_body().get()) {
+    if (BodyPipe* upload = request->payload->streamed_body().get()) {
       upload->abort();
     }
     // Notifies the decision actor, so that the request neither stays queued nor is forwarded
@@ -336,13 +368,12 @@
   const bool uploading = is_uploading(request);
   const TimePoint overdue =
       uploading ? request_read_deadline() : to_time_point(request.deadline + kResponseOverdue);
-  const bool may_read =
-      uploading ? !request.payload->remaining_body()->full() : buffer_.size() < kMaxPipelinedBytes;
   IoResult io = IoResult::kNotified;
-  if (may_read) {
+  if (may_read(request)) {
     const std::size_t size_before = buffer_.size();
     io = co_await stream_.read(buffer_, overdue, &request.response_ready);
     received_bytes_ += buffer_.size() - size_before;
+    input_memory_.set(buffer_.capacity());
   } else {
     // While the backend does not accept more of the body or the buffer for pipelined requests is
     // full, nothing is read, but a disconnect is still detected. The time spent waiting for the
@@ -369,15 +400,25 @@
   co_return valid ? WaitOutcome::kPending : WaitOutcome::kMalformed;
 }
 
+// Whether there is memory for more of the request's body, or for pipelined requests.
+bool ClientConnection::may_read(const ClientRequest& request) const {
+  if (is_uploading(request)) {
+    return !request.payload->streamed_body()->full();
+  }
+  const bool has_capacity = context_.buffer_budget.has_capacity();
+  return buffer_.size() < (has_capacity ? kMaxPipelinedBytes : BufferBudget::kGuaranteedBytes);
+}
+
 // Moves received bytes of a streamed body into its pipe. Returns false if the body is malformed or
 // its stated length is wrong.
 bool ClientConnection::forward_upload(ClientRequest& request, http::Parser& parser) {
-  BodyPipe& upload = *request.payload->remaining_body();
+  BodyPipe& upload = *request.payload->streamed_body();
   std::string bytes;
   const http::Progress progress = parser.feed_body(buffer_, bytes);
   if (!bytes.empty()) {
     upload.push(bytes);
   }
+  release_input_buffer();
   if (progress == http::Progress::kNeedsMore) {
     return true;
   }
@@ -394,10 +435,10 @@
 // ---- Sending responses
 
 // Sends the response and counts the request's outcome. Returns whether the connection stays open.
-Task<bool> ClientConnection::send_response(const ClientResponse& response, bool close,
+Task<bool> ClientConnection::send_response(ClientResponse& response, bool close,
                                            bool client_decodes_chunks,
                                            Telemetry::RequestScope& scope) {
-  const auto* completed = std::get_if<BackendResponse>(&response);
+  auto* completed = std::get_if<BackendResponse>(&response);
   if (completed && completed->remaining_body) {
     const bool complete = co_await stream_response(*completed, close, client_decodes_chunks);
     if (end_reason_ != EndReason::kWriteFailed) {
@@ -416,7 +457,7 @@
 // Forwards a streamed response, no faster than its client receives it. Returns false if the
 // response ended early or could not be written; the connection is then closed before the body's
 // end, which shows the client that the body is incomplete.
-Task<bool> ClientConnection::stream_response(const BackendResponse& response, bool close,
+Task<bool> ClientConnection::stream_response(BackendResponse& response, bool close,
                                              bool client_decodes_chunks) {
   BodyPipe& pipe = *response.remaining_body;
   const BodyPipe::ReaderGuard reader_guard(pipe);
@@ -426,6 +467,7 @@
   };
   std::string bytes =
       encode_stream_head(response, close, client_decodes_chunks) + frame(response.body);
+  release_memory(response.body);
   for (;;) {
     const bool last = pipe.is_complete();
     if (!pipe.empty()) {
@@ -439,7 +481,9 @@
     if (io != IoResult::kOk || last) {
       co_return io == IoResult::kOk;
     }
-    bytes.clear();
+    release_memory(bytes);
+    response.memory.set(0);
+    pipe.release();
     if (!pipe.empty() || pipe.is_complete()) {
       continue;
     }
--- a/src/proxy/client_connection.h
+++ b/src/proxy/client_connection.h
@@ -30,7 +30,7 @@
   runtime::Scheduler& scheduler;
   DecisionMailbox& decisions;
   Telemetry& telemetry;
-  BodyBudget& body_budget;
+  BufferBudget& buffer_budget;
   DescriptorBudget descriptor_budget;
   ListenerLifecycle lifecycle;
   ClientRequestParser request_parser;
@@ -81,7 +81,7 @@
   void request_close(EndReason reason);
 
  private:
-  enum class ReadOutcome { kRequest, kMalformed, kTimedOut, kClosed };
+  enum class ReadOutcome { kRequest, kMalformed, kTimedOut, kBuffersFull, kClosed };
   enum class WaitOutcome { kPending, kOverdue, kMalformed, kUploadTooSlow, kDisconnected };
 
   void enter_phase(Phase phase);
@@ -89,6 +89,8 @@
 
   runtime::Task<ReadOutcome> read_request(http::Parser& parser);
   http::Progress parse_buffer(http::Parser& parser);
+  bool may_not_grow() const;
+  void release_input_buffer();
   runtime::Task<std::optional<ReadOutcome>> handle_expectation(const http::Message& message);
   runtime::TimePoint read_deadline() const;
   runtime::TimePoint request_read_deadline() const;
@@ -99,12 +101,13 @@
   runtime::Task<bool> await_response(const std::shared_ptr<ClientRequest>& request,
                                      http::Parser& parser);
   runtime::Task<WaitOutcome> await_progress(ClientRequest& request, http::Parser& parser);
+  bool may_read(const ClientRequest& request) const;
   bool forward_upload(ClientRequest& request, http::Parser& parser);
   bool closes_after_response() const;
 
-  runtime::Task<bool> send_response(const ClientResponse& response, bool close,
+  runtime::Task<bool> send_response(ClientResponse& response, bool close,
                                     bool client_decodes_chunks, Telemetry::RequestScope& scope);
-  runtime::Task<bool> stream_response(const BackendResponse& response, bool close,
+  runtime::Task<bool> stream_response(BackendResponse& response, bool close,
                                       bool client_decodes_chunks);
   runtime::Task<bool> write_response(const std::string& bytes, bool close);
   runtime::Task<> reject(int status, EndReason reason);
@@ -115,11 +118,14 @@
   net::Stream stream_;
   /// Received bytes that have not been parsed yet; may include pipelined requests.
   std::string buffer_;
+  /// The memory of `buffer_` and of a request that has been received in part.
+  BufferBudget::Usage input_memory_;
   runtime::Notifier wake_;
   bool close_requested_ = false;
   EndReason close_reason_ = EndReason::kEvicted;
   bool answered_health_check_ = false;
-  /// Whether the request's body is too large to be buffered and is forwarded as it arrives.
+  /// Whether the request is too large to be buffered as a whole. Its body is forwarded as it arrives
+  /// or, if the buffers are full, the request is rejected.
   bool streams_body_ = false;
   /// Whether further input is discarded, because it may belong to the body of a request that has
   /// already been answered.
--- a/src/proxy/client_listener.cpp
+++ b/src/proxy/client_listener.cpp
@@ -74,13 +74,13 @@
 
 ClientListener::ClientListener(runtime::Scheduler& scheduler, DecisionMailbox& decisions,
                                const config::Config& config, Telemetry& telemetry,
-                               BodyBudget& body_budget, std::size_t descriptors,
+                               BufferBudget& buffer_budget, std::size_t descriptors,
                                std::function<bool()> has_endpoints, bool draining)
     : config_(config),
       context_{scheduler,
                decisions,
                telemetry,
-               body_budget,
+               buffer_budget,
                DescriptorBudget(descriptors),
                ListenerLifecycle(max_deadline(config)),
                ClientRequestParser(config),
--- a/src/proxy/client_listener.h
+++ b/src/proxy/client_listener.h
@@ -23,7 +23,7 @@
   /// `draining` is set, the listener starts in the draining state. All arguments that are passed by
   /// reference must outlive the listener.
   ClientListener(runtime::Scheduler& scheduler, DecisionMailbox& decisions,
-                 const config::Config& config, Telemetry& telemetry, BodyBudget& body_budget,
+                 const config::Config& config, Telemetry& telemetry, BufferBudget& buffer_budget,
                  std::size_t descriptors, std::function<bool()> has_endpoints,
                  bool draining = false);
 
--- a/src/proxy/client_request.h
+++ b/src/proxy/client_request.h
@@ -9,6 +9,7 @@
 
 #include "beechhill/balancer.h"
 #include "proxy/body_pipe.h"
+#include "proxy/buffer_budget.h"
 #include "proxy/payload.h"
 #include "runtime/scheduler.h"
 
@@ -24,6 +25,8 @@
   /// Total length of a streamed body in bytes, `body` included; empty if the backend did not state
   /// it.
   std::optional<std::uint64_t> content_length;
+  /// The memory of `body`.
+  BufferBudget::Usage memory;
 };
 
 /// The response to a request that was not executed, so that the client may retry it.
@@ -52,6 +55,8 @@
   /// How long the client waits for a response after the last byte of its request.
   Duration client_timeout{0};
   std::shared_ptr<const Payload> payload;
+  /// The memory of `payload`, without a streamed body.
+  BufferBudget::Usage payload_memory;
   std::optional<ClientResponse> response;
   runtime::Notifier response_ready;
   /// Whether the client has disconnected. Set in addition to posting RequestAbandoned, so that no
@@ -59,7 +64,7 @@
   bool abandoned = false;
 
   /// Whether the body is forwarded as it arrives instead of being buffered.
-  bool streams_body() const { return payload->remaining_body() != nullptr; }
+  bool streams_body() const { return payload->streamed_body() != nullptr; }
   bool awaits_response() const { return !abandoned && !response; }
 };
 
--- a/src/proxy/client_request_parser.h
+++ b/src/proxy/client_request_parser.h
@@ -34,8 +34,8 @@
   explicit ClientRequestParser(const config::Config& config);
 
   /// Converts `message` to a request, and moves from it unless an error is returned.
-  /// `content_length` is the length stated by the client. `upload` receives the rest of a streamed
-  /// body and is null if the body is complete. The request's deadline is at most `latest_deadline`.
+  /// `content_length` is the length stated by the client. `upload` carries a streamed body and is
+  /// null if the body is complete. The request's deadline is at most `latest_deadline`.
   ParsedRequest parse(http::Message& message, std::optional<std::uint64_t> content_length,
                       std::shared_ptr<BodyPipe> upload, Time latest_deadline);
 
--- a/src/proxy/client_response_encoder.cpp
+++ b/src/proxy/client_response_encoder.cpp
@@ -1,5 +1,6 @@
 #include "proxy/client_response_encoder.h"
 
+#include <utility>
 #include <variant>
 
 #include "http/field_values.h"
@@ -21,9 +22,10 @@
 
 }  // namespace
 
-std::string encode_response(const ClientResponse& response, bool close) {
-  if (const auto* completed = std::get_if<BackendResponse>(&response)) {
-    return http::write_response(200, content_type_header(*completed), completed->body, close);
+std::string encode_response(ClientResponse& response, bool close) {
+  if (auto* completed = std::get_if<BackendResponse>(&response)) {
+    const std::string body = std::move(completed->body);
+    return http::write_response(200, content_type_header(*completed), body, close);
   }
   if (const auto* rejection = std::get_if<Rejection>(&response)) {
     return http::write_response(503, retry_after_header(*rejection), "", close);
--- a/src/proxy/client_response_encoder.h
+++ b/src/proxy/client_response_encoder.h
@@ -8,10 +8,10 @@
 
 namespace beechhill::proxy {
 
-/// Encodes a response with a complete body. The status is 200 for a backend's response, 503 for a
-/// rejection and 502 for a failure. `close` announces that the connection is closed after the
-/// response.
-std::string encode_response(const ClientResponse& response, bool close);
+/// Encodes a response with a complete body, and frees the memory of the body in `response`. The
+/// status is 200 for a backend's response, 503 for a rejection and 502 for a failure. `close`
+/// announces that the connection is closed after the response.
+std::string encode_response(ClientResponse& response, bool close);
 
 /// Encodes the head of a streamed response, whose body is delimited by its length, by chunked
 /// encoding or by the end of the connection.
--- a/src/proxy/connection_log.cpp
+++ b/src/proxy/connection_log.cpp
@@ -14,6 +14,8 @@
       return "answered_close";
     case EndReason::kBadRequest:
       return "bad_request";
+    case EndReason::kBuffersFull:
+      return "buffers_full";
     case EndReason::kReadTimeout:
       return "read_timeout";
     case EndReason::kWriteFailed:
--- a/src/proxy/connection_log.h
+++ b/src/proxy/connection_log.h
@@ -17,6 +17,8 @@
   kClosedAfterResponse,
   /// The connection was closed after an invalid request was rejected.
   kBadRequest,
+  /// A request was rejected because the buffers are full.
+  kBuffersFull,
   /// A new client sent nothing within the time limit, or a client did not complete its request in
   /// time.
   kReadTimeout,
--- a/src/proxy/decision_actor_requests.cpp
+++ b/src/proxy/decision_actor_requests.cpp
@@ -58,7 +58,7 @@
   active->record_outcome(outcome.attempt_number, outcome.result);
   const ClientRequest& request = *active->request();
   const bool body_consumed =
-      request.streams_body() && request.payload->remaining_body()->reading_started();
+      request.streams_body() && request.payload->streamed_body()->reading_started();
   const std::shared_ptr<BodyPipe> response_stream = outcome.response.remaining_body;
   if (response_stream) {
     // The response stream holds a reference to the endpoint until ResponseStreamEnded arrives.
--- a/tests/backend_actor_test.cpp
+++ b/tests/backend_actor_test.cpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <thread>
 #include <utility>
 
 #include "runtime/time.h"
@@ -30,6 +31,18 @@
     return {1, 0, now + 3s, now + 3s, {}, std::make_shared<TestPayload>(), std::move(request)};
   }
 
+  runtime::Task<> stop_after_first_message() {
+    runtime::Wait wait(scheduler);
+    wait.notified(decisions.arrived()).until(Clock::now() + kTestTimeout);
+    co_await wait;
+    scheduler.stop();
+  }
+
+  runtime::Task<> yield_and_stop() {
+    co_await yield_to_other_tasks(scheduler);
+    scheduler.stop();
+  }
+
   // Runs the actor until the attempt's outcome has been posted, and returns the outcome. If
   // `while_connecting` is set, calls it once the attempt waits for its connection.
   Result outcome(const std::function<void()>& while_connecting = {}) {
@@ -48,9 +61,9 @@
   Settings settings;
   runtime::Scheduler scheduler;
   proxy::DecisionMailbox decisions{8};
-  proxy::BodyBudget body_budget{1024};
+  proxy::BufferBudget buffer_budget{1024};
   proxy::Telemetry telemetry{1};
-  proxy::BackendPool pool{8, body_budget, telemetry, settings};
+  proxy::BackendPool pool{8, buffer_budget, telemetry, settings};
   proxy::BackendActor actor{scheduler, decisions, pool, settings, 0, address};
 
  private:
@@ -67,6 +80,39 @@
   }
 };
 
+// Runs the actor with buffers that are full, so that a response of any size can only be forwarded
+// as it arrives.
+class FullBuffersTest : public BackendActorTest {
+ protected:
+  FullBuffersTest() { pool.max_response_gap = 1s; }
+
+  proxy::BufferBudget::Usage others{buffer_budget, proxy::BufferKind::kRequest,
+                                    buffer_budget.limit()};
+};
+
+// Each response of up to 64 KiB was buffered as a whole, however little memory was left.
+TEST_F(FullBuffersTest, ForwardsResponseAsItArrives) {
+  ASSERT_TRUE(actor.post(attempt(nullptr)));
+  std::thread responding([this] {
+    TestConnection server = backend.accept();
+    server.request();
+    server.send("HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n" + std::string(15'000, 'x'));
+    server.receive();  // Ends when the actor is destroyed or closes the connection.
+  });
+  scheduler.spawn(stop_after_first_message());
+  scheduler.run();
+  ASSERT_FALSE(decisions.empty());
+  const proxy::DecisionMessage message = decisions.take();
+  const auto& completed = std::get<proxy::AttemptCompleted>(message);
+  EXPECT_EQ(completed.result, Result::kOk);
+  ASSERT_TRUE(completed.response.remaining_body);
+  EXPECT_LT(completed.response.body.size(), 15'000U);
+  completed.response.remaining_body->close_reader();
+  scheduler.spawn(yield_and_stop());
+  scheduler.run();
+  responding.join();
+}
+
 // A draining backend must receive no request even within its drain grace, because the grace starts
 // when discovery's agent learns of the drain and may already be over.
 TEST_F(BackendActorTest, SkipsQueuedAttemptWhenBackendDrains) {
--- a/tests/support/deployment_json.h
+++ b/tests/support/deployment_json.h
@@ -5,12 +5,16 @@
 
 namespace beechhill::test {
 
+inline const std::string kDefaultLimits = R"({"sockets":256})";
+
 // Returns the proxy's configuration. It allows one attempt per request, so that a second attempt
-// can only be a fault of the proxy's network code.
+// can only be a fault of the proxy's network code. `limits` is a JSON object.
 inline std::string config_json(const std::string& listen, const std::string& discovery,
-                               const std::string& hosts) {
+                               const std::string& hosts,
+                               const std::string& limits = kDefaultLimits) {
   return R"({"name":"t","listen":")" + listen + R"(","discovery":")" + discovery +
-         R"(","seed":"5","limits":{"sockets":256},"known":{"seq":1,"whole":true,"hosts":)" + hosts +
+         R"(","seed":"5","limits":)" + limits + R"(,"known":{"seq":1,"whole":true,"hosts":)" +
+         hosts +
          R"(},"settings":{"zone":"z","tier":0,"tiers":["one"],"discovery":"push",)"
          R"("guarantees":{"cold-from":0.15,"cold":23000000,"drain-grace":2000000,"fall-multiple":3.0,"tip-after":3000000},)"
          R"("limits":{"connect-timeout":100000,"idle-close":30000000,"may-cancel":true,"most-tries":1,)"
--- a/tests/support/proxy_fixture.h
+++ b/tests/support/proxy_fixture.h
@@ -38,10 +38,11 @@
   // Starts the process and accepts its first watch. If `hosts` is not empty, sends it as the
   // complete endpoint list and waits until the proxy is ready. `known` is the endpoint list in the
   // configuration file. If `shared` is not null, the process uses its listening socket and state
-  // directory.
+  // directory. `limits` is the JSON object of the process's limits.
   explicit ProxyUnderTest(const std::string& hosts, const std::string& known = "[]",
-                          const SharedListener* shared = nullptr)
-      : shared_(shared), watch_((start(known), discovery_.accept())) {
+                          const SharedListener* shared = nullptr,
+                          const std::string& limits = kDefaultLimits)
+      : shared_(shared), watch_((start(known, limits), discovery_.accept())) {
     first_watch_target_ = watch_.request().target;
     watch_.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
     if (hosts.empty()) {
@@ -139,11 +140,12 @@
 
  private:
   // Starts the process and reads its log up to the line "serving", which contains its addresses.
-  void start(const std::string& known) {
+  void start(const std::string& known, const std::string& limits) {
     char path[] = "/tmp/proxy_test_XXXXXX";
     ::close(::mkstemp(path));
     configuration_path_ = path;
-    std::ofstream(configuration_path_) << config_json("127.0.0.1:0", discovery_.address(), known);
+    std::ofstream(configuration_path_)
+        << config_json("127.0.0.1:0", discovery_.address(), known, limits);
     int log_pipe[2];
     require(::pipe(log_pipe) == 0);
     pid_ = ::fork();
