Reuse a connection to a backend only 10 ms after its last response

Cause: IdleConnections::take preferred connections whose last response was 5 ms old but returned any other if there was none. The next request was written before the second response arrived, which was then taken for its answer; nothing in HTTP/1.1 ties a response to its request.

Evidence: the log has a line `attempt` (level debug).

Why this works: an attempt waits until its connection has been idle for 10 ms after a response, or opens one if it has less time, and then checks it for bytes. A later second response is still only told by the request's id.

A connection to a replaced process of a backend no longer returns to the idle ones.

--- a/include/beechhill/events.h
+++ b/include/beechhill/events.h
@@ -1,6 +1,7 @@
 // Events that an embedder passes to a Balancer.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <variant>
@@ -78,6 +79,13 @@
   kSkipped,  // not sent, for a reason unrelated to the endpoint
 };
 
+/// Returns the name of `result` in logs and traces, a string literal.
+constexpr const char* name(Result result) {
+  constexpr const char* kNames[] = {"ok",    "error",     "full", "timeout", "connect_failed",
+                                    "reset", "cancelled", "moot"};
+  return kNames[static_cast<std::size_t>(result)];
+}
+
 /// The end of an attempt. The embedder must report exactly one Outcome per attempt, at the latest
 /// at the request's deadline.
 struct Outcome {
--- a/src/emulator/rules.cpp
+++ b/src/emulator/rules.cpp
@@ -19,12 +19,6 @@
 // backend's start. Below this share, the overload is not counted as a violation of Rule::kCold.
 constexpr double kAwareShare = 2.0 / 3;
 
-const char* name_of_result(Result result) {
-  static constexpr const char* kNames[] = {
-      "ok", "error", "full", "timeout", "connect_failed", "reset", "cancelled", "moot"};
-  return kNames[static_cast<std::size_t>(result)];
-}
-
 std::uint64_t backend_key(std::uint32_t tier, EndpointId endpoint) {
   return (static_cast<std::uint64_t>(tier) << 32) | endpoint;
 }
@@ -178,7 +172,7 @@
     return;
   }
   request->attempts[attempt].result = result;
-  add_to_trace(*request, now, fmt::format("attempt={} {}", attempt, name_of_result(result)));
+  add_to_trace(*request, now, fmt::format("attempt={} {}", attempt, name(result)));
 }
 
 void RuleChecker::excused(Time now, std::uint64_t request_id) {
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -165,9 +165,13 @@
   co_return IoResult::kOk;
 }
 
-bool Stream::stale() {
+UnsolicitedInput Stream::unsolicited_input() {
   char byte = 0;
-  return ::recv(fd_.get(), &byte, 1, MSG_PEEK) >= 0 || !would_block();
+  const ssize_t size = ::recv(fd_.get(), &byte, 1, MSG_PEEK);
+  if (size > 0) {
+    return UnsolicitedInput::kBytes;
+  }
+  return size < 0 && would_block() ? UnsolicitedInput::kNone : UnsolicitedInput::kEnd;
 }
 
 void Stream::shutdown_write() {
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -25,6 +25,15 @@
   kError
 };
 
+/// What a peer has done on a connection on which nothing is expected from it.
+enum class UnsolicitedInput {
+  kNone,
+  /// It has sent bytes.
+  kBytes,
+  /// It has closed its sending side, or the connection has failed.
+  kEnd
+};
+
 /// A connected, non-blocking TCP socket. At most one coroutine may read and one may write at a
 /// time, on the event loop thread. Deadlines are absolute. Data that is already available is read
 /// even after the deadline.
@@ -56,11 +65,11 @@
   /// and must outlive the stream. Without a call, the limit is kMaxReadBytes.
   void limit_reads(const std::size_t& max_bytes) { max_read_bytes_ = &max_bytes; }
 
-  /// Returns whether the peer of an idle connection has closed it or sent unsolicited bytes. Does
-  /// not wait, and leaves the bytes unread.
-  bool stale();
-  /// Sets the watcher; null removes it. The watcher is called when stale() may have become true. It
-  /// is not called while a coroutine reads. It must outlive the stream or be removed first.
+  /// Returns what the peer has done on an idle connection. Does not wait, and leaves bytes unread.
+  UnsolicitedInput unsolicited_input();
+  /// Sets the watcher; null removes it. The watcher is called when unsolicited_input() may have
+  /// changed. It is not called while a coroutine reads. It must outlive the stream or be removed
+  /// first.
   void watch(runtime::IoWatcher* watcher) { io_.watch(watcher); }
 
   /// Performs a lingering close: shuts down the sending side, then reads and discards bytes until
--- a/src/proxy/backend_actor.cpp
+++ b/src/proxy/backend_actor.cpp
@@ -1,7 +1,10 @@
 #include "proxy/backend_actor.h"
 
 #include <algorithm>
+#include <chrono>
+#include <cstdint>
 #include <exception>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -38,6 +41,22 @@
   }
 };
 
+std::int64_t microseconds_or_none(const std::optional<Duration>& duration) {
+  return duration ? std::chrono::duration_cast<std::chrono::microseconds>(*duration).count() : -1;
+}
+
+// Logs on which connection an attempt was made and how soon its response came, from which one can
+// tell whether a response can be the one to its request.
+void log_attempt(const AttemptRequest& attempt, EndpointId endpoint, const ExchangeResult& result) {
+  const ExchangeTiming& timing = result.timing;
+  log::event(log::Level::kDebug, "attempt",
+             {{"trace_id", attempt.payload->trace_id()},
+              {"endpoint", std::uint64_t{endpoint}},
+              {"result", std::string_view(name(result.result))},
+              {"reused_after_us", microseconds_or_none(timing.reused_after)},
+              {"first_byte_after_us", microseconds_or_none(timing.first_byte_after)}});
+}
+
 // Whether the outcome of `attempt` is still needed: its client has neither disconnected nor
 // received a response. Always true for a health check, for which `attempt` is null.
 bool is_wanted(const AttemptRequest* attempt) {
@@ -147,8 +166,10 @@
                                                              : Result::kSkipped;
 }
 
-bool BackendActor::is_at_current_address(const BackendConnection& connection) const {
-  return net::same_address(connection.address, status_.address);
+// Whether `connection` leads to the backend's current process.
+bool BackendActor::is_current(const BackendConnection& connection) const {
+  return net::same_address(connection.address, status_.address) &&
+         connection.backend_started_at == status_.started_at;
 }
 
 Task<> BackendActor::run_attempt(AttemptRequest attempt) {
@@ -157,6 +178,7 @@
   try {
     ExchangeResult exchange_result =
         co_await exchange(*attempt.payload, attempt.connect_deadline, attempt.deadline, &attempt);
+    log_attempt(attempt, endpoint_, exchange_result);
     if (exchange_result.posted) {
       attempts_.erase({attempt.request_id, attempt.attempt_number});
       DecisionMessage ended(ResponseStreamEnded{endpoint_});
@@ -194,34 +216,61 @@
   if (!may_send() || !is_wanted(attempt) || now() >= write_deadline) {
     co_return unsent;
   }
-  std::unique_ptr<BackendConnection> connection = idle_connections_.take();
+  std::unique_ptr<BackendConnection> connection =
+      co_await acquire_connection(connect_deadline, write_deadline);
   if (!connection) {
-    connection = co_await connect(connect_deadline);
-    if (!connection) {
-      co_return unsent;
-    }
-    // While the connection was being established, the backend may have begun to drain or moved, the
-    // client may have disconnected or received its response, or the write deadline may have passed.
-    const bool usable = may_send() && is_at_current_address(*connection);
-    if (!usable || !is_wanted(attempt) || now() >= write_deadline) {
-      connection->end_reason = usable ? EndReason::kAttemptCancelled : EndReason::kBackendDrained;
-      unsent.result = unsent_result(attempt);
-      if (usable) {
-        idle_connections_.put(std::move(connection));
-      }
-      co_return unsent;
+    co_return unsent;
+  }
+  // While the connection was being acquired, the backend may have begun to drain, moved or
+  // restarted, the client may have disconnected or received its response, or the write deadline may
+  // have passed.
+  const bool usable = may_send() && is_current(*connection);
+  if (!usable || !is_wanted(attempt) || now() >= write_deadline) {
+    connection->end_reason = usable ? EndReason::kAttemptCancelled : EndReason::kBackendDrained;
+    unsent.result = unsent_result(attempt);
+    if (usable) {
+      idle_connections_.put(std::move(connection));
     }
+    co_return unsent;
   }
   BackendExchange exchange(scheduler_, decisions_, pool_, *connection, payload, attempt);
   ExchangeResult result = co_await exchange.run(write_deadline, deadline);
-  // A connection to an address from which the backend has moved must not be reused.
+  // A connection to a process that the backend has replaced must not be reused.
   if (exchange.connection_is_reusable() && status_.status == EndpointStatus::kUp &&
-      is_at_current_address(*connection)) {
+      is_current(*connection)) {
     idle_connections_.put(std::move(connection));
   }
   co_return result;
 }
 
+// Returns an idle connection, or opens one. Returns null if neither is possible in time.
+Task<std::unique_ptr<BackendConnection>> BackendActor::acquire_connection(Time connect_deadline,
+                                                                          Time write_deadline) {
+  std::unique_ptr<BackendConnection> connection =
+      co_await take_idle(std::min(connect_deadline, write_deadline));
+  if (!connection) {
+    connection = co_await connect(connect_deadline);
+  }
+  co_return connection;
+}
+
+// Takes an idle connection and waits until it is settled. Returns null if there is none that is
+// settled by `deadline`.
+Task<std::unique_ptr<BackendConnection>> BackendActor::take_idle(Time deadline) {
+  for (;;) {
+    std::unique_ptr<BackendConnection> connection = idle_connections_.take(to_time_point(deadline));
+    if (!connection || connection->settled_at() <= runtime::Clock::now()) {
+      co_return connection;
+    }
+    runtime::Wait wait(scheduler_);
+    wait.until(connection->settled_at());
+    co_await wait;
+    if (connection->check_unused()) {
+      co_return connection;
+    }
+  }
+}
+
 // Opens a connection. Returns null if no descriptor is free or the connection is not established in
 // time.
 Task<std::unique_ptr<BackendConnection>> BackendActor::connect(Time connect_deadline) {
@@ -229,6 +278,7 @@
     co_return nullptr;
   }
   auto connection = std::make_unique<BackendConnection>(pool_.descriptor_budget, status_.address);
+  connection->backend_started_at = status_.started_at;
   const TimePoint deadline =
       to_time_point(std::min(connect_deadline, now() + settings_.connect_timeout));
   connection->stream = co_await net::Stream::connect(scheduler_, status_.address, deadline);
--- a/src/proxy/backend_actor.h
+++ b/src/proxy/backend_actor.h
@@ -40,6 +40,9 @@
   runtime::Task<> run_health_check();
   runtime::Task<ExchangeResult> exchange(const Payload& payload, Time connect_deadline,
                                          Time deadline, const AttemptRequest* attempt);
+  runtime::Task<std::unique_ptr<BackendConnection>> acquire_connection(Time connect_deadline,
+                                                                       Time write_deadline);
+  runtime::Task<std::unique_ptr<BackendConnection>> take_idle(Time deadline);
   runtime::Task<std::unique_ptr<BackendConnection>> connect(Time connect_deadline);
 
   void on(AttemptRequest& attempt);
@@ -48,7 +51,7 @@
   void on(BackendStatus& status);
 
   bool may_send() const;
-  bool is_at_current_address(const BackendConnection& connection) const;
+  bool is_current(const BackendConnection& connection) const;
   Result unsent_result(const AttemptRequest* attempt) const;
 
   runtime::Scheduler& scheduler_;
--- a/src/proxy/backend_exchange.cpp
+++ b/src/proxy/backend_exchange.cpp
@@ -55,6 +55,10 @@
 
 Task<ExchangeResult> BackendExchange::run(Time write_deadline, Time deadline) {
   ++connection_.requests;
+  if (connection_.last_response_at) {
+    result_.timing.reused_after =
+        std::chrono::duration_cast<Duration>(Clock::now() - *connection_.last_response_at);
+  }
   const IoResult written = co_await write_request(write_deadline, deadline);
   if (written != IoResult::kOk) {  // The last byte was not sent, so the request was not executed.
     connection_.end_reason = EndReason::kReset;
@@ -67,7 +71,11 @@
   if (payload_.streamed_body()) {
     deadline = now() + attempt_->response_timeout;
   }
+  written_at_ = Clock::now();
   co_await receive(deadline);
+  if (reusable_) {
+    connection_.last_response_at = Clock::now();
+  }
   co_return std::move(result_);
 }
 
@@ -178,6 +186,7 @@
     const IoResult io = co_await connection_.stream->read(buffer_, to_time_point(until));
     http::Progress progress = http::Progress::kNeedsMore;
     if (io == IoResult::kOk) {
+      record_first_byte();
       progress = parse_buffer();
       input_memory_.set(buffer_.capacity() + parser_.message().memory_bytes());
     } else if (io == IoResult::kEof && parser_.head_done()) {
@@ -197,6 +206,13 @@
   }
 }
 
+void BackendExchange::record_first_byte() {
+  if (!result_.timing.first_byte_after) {
+    result_.timing.first_byte_after =
+        std::chrono::duration_cast<Duration>(Clock::now() - written_at_);
+  }
+}
+
 http::Progress BackendExchange::parse_buffer() {
   const http::Progress progress = parser_.feed_part(buffer_);
   streams_response_ =
--- a/src/proxy/backend_exchange.h
+++ b/src/proxy/backend_exchange.h
@@ -16,11 +16,20 @@
 
 namespace beechhill::proxy {
 
+/// When an exchange took place, relative to the previous one on its connection.
+struct ExchangeTiming {
+  /// Time from the end of the previous response to the request; empty on a new connection.
+  std::optional<Duration> reused_after;
+  /// Time from the request's last byte to the response's first one; empty if there was no response.
+  std::optional<Duration> first_byte_after;
+};
+
 /// The outcome of an attempt or a health check.
 struct ExchangeResult {
   Result result = Result::kConnectFailed;
   LoadReport load_report;
   BackendResponse response;
+  ExchangeTiming timing;
   /// Whether the outcome has already been posted to the decision actor, along with the first part
   /// of a streamed response.
   bool posted = false;
@@ -63,6 +72,7 @@
   runtime::Task<net::IoResult> await_body_part(BodyPipe& pipe);
   runtime::Task<> receive(Time deadline);
   runtime::Task<ReadOutcome> read_first_part(Time deadline);
+  void record_first_byte();
   http::Progress parse_buffer();
   std::size_t max_buffered_body() const;
   void release_input();
@@ -86,6 +96,7 @@
   /// Whether the response is too large to be buffered and is forwarded as it arrives.
   bool streams_response_ = false;
   bool reusable_ = false;
+  runtime::TimePoint written_at_{};
 };
 
 }  // namespace beechhill::proxy
--- a/src/proxy/client_connection.h
+++ b/src/proxy/client_connection.h
@@ -124,8 +124,8 @@
   bool close_requested_ = false;
   EndReason close_reason_ = EndReason::kEvicted;
   bool answered_health_check_ = false;
-  /// Whether the request is too large to be buffered as a whole. Its body is forwarded as it arrives
-  /// or, if the buffers are full, the request is rejected.
+  /// Whether the request is too large to be buffered as a whole. Its body is forwarded as it
+  /// arrives or, if the buffers are full, the request is rejected.
   bool streams_body_ = false;
   /// Whether further input is discarded, because it may belong to the body of a request that has
   /// already been answered.
--- a/src/proxy/connection_log.cpp
+++ b/src/proxy/connection_log.cpp
@@ -28,6 +28,8 @@
       return "idle";
     case EndReason::kBackendClosed:
       return "peer_closed";
+    case EndReason::kUnsolicitedBytes:
+      return "unsolicited_bytes";
     case EndReason::kBackendDrained:
       return "peer_drained";
     case EndReason::kConnectFailed:
--- a/src/proxy/connection_log.h
+++ b/src/proxy/connection_log.h
@@ -35,6 +35,8 @@
   // Connections to backends.
   /// The backend closed the connection while it was idle, or announced that it would.
   kBackendClosed,
+  /// The backend sent bytes on the connection while it was idle, such as a second response.
+  kUnsolicitedBytes,
   /// The connection was closed because the backend is draining, was removed, or has restarted or
   /// moved.
   kBackendDrained,
--- a/src/proxy/idle_connections.cpp
+++ b/src/proxy/idle_connections.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds kSettlingTime{5};
+// How long after a response bytes may arrive that belong to no request.
+constexpr std::chrono::milliseconds kSettlingTime{10};
 
 // A connection is closed when it has been idle for the backend's idle timeout divided by this, so
 // that the proxy closes it before the backend does.
@@ -23,31 +24,51 @@
   owner_->add_readable(*this);
 }
 
-std::unique_ptr<BackendConnection> IdleConnections::take() {
+TimePoint BackendConnection::settled_at() const {
+  return last_response_at ? *last_response_at + kSettlingTime : TimePoint::min();
+}
+
+bool BackendConnection::check_unused() {
+  switch (stream->unsolicited_input()) {
+    case net::UnsolicitedInput::kNone:
+      return true;
+    case net::UnsolicitedInput::kBytes:
+      end_reason = EndReason::kUnsolicitedBytes;
+      return false;
+    case net::UnsolicitedInput::kEnd:
+      break;
+  }
+  end_reason = EndReason::kBackendClosed;
+  return false;
+}
+
+std::unique_ptr<BackendConnection> IdleConnections::take(TimePoint deadline) {
   close_stale();
   while (!connections_.empty()) {
     const auto position = find_preferred();
+    if ((*position)->settled_at() > deadline) {
+      return nullptr;
+    }
     // A request on a connection that the backend has closed would be reset. epoll may not have
     // reported the close yet, so the socket is checked.
-    if (!(*position)->stream->stale()) {
-      return remove(position);
+    std::unique_ptr<BackendConnection> connection = remove(position);
+    if (connection->check_unused()) {
+      return connection;
     }
-    close(position, EndReason::kBackendClosed);
   }
   return nullptr;
 }
 
-// Returns the most recently used connection that has been idle for kSettlingTime, or the most
-// recently used one if there is none. The list is ordered by the start of idleness, so only the
-// connections of the last few milliseconds are skipped.
+// Returns the most recently used connection that is settled, or else the one that will be first.
+// The list is ordered by the start of idleness, so only the connections of the last few
+// milliseconds are skipped.
 IdleConnections::List::iterator IdleConnections::find_preferred() {
-  const TimePoint settled = Clock::now() - kSettlingTime;
-  const auto last = std::prev(connections_.end());
-  auto position = last;
-  while (position != connections_.begin() && (*position)->idle_since_ > settled) {
+  const TimePoint now = Clock::now();
+  auto position = std::prev(connections_.end());
+  while (position != connections_.begin() && (*position)->settled_at() > now) {
     --position;
   }
-  return (*position)->idle_since_ > settled ? last : position;
+  return position;
 }
 
 void IdleConnections::put(std::unique_ptr<BackendConnection> connection) {
@@ -57,8 +78,7 @@
   idle.stream->watch(&idle);
   // The backend may have closed the connection along with its response; epoll does not report that
   // again, so the socket is checked.
-  if (idle.stream->stale()) {
-    idle.end_reason = EndReason::kBackendClosed;
+  if (!idle.check_unused()) {
     return;
   }
   idle.position_ = connections_.insert(connections_.end(), std::move(connection));
@@ -110,8 +130,8 @@
   while (!readable_.empty()) {
     BackendConnection& connection = *readable_.back();
     remove_readable(connection);
-    if (connection.stream->stale()) {
-      close(connection.position_, EndReason::kBackendClosed);
+    if (!connection.check_unused()) {
+      remove(connection.position_);
     }
   }
   const TimePoint now = Clock::now();
--- a/src/proxy/idle_connections.h
+++ b/src/proxy/idle_connections.h
@@ -3,6 +3,7 @@
 
 #include <netinet/in.h>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <list>
@@ -32,13 +33,26 @@
   /// Called only while the connection is idle.
   void on_readable() override;
 
+  /// Returns from when on the connection may carry another request. A backend may send bytes that
+  /// belong to no request, such as its last response once more, some milliseconds behind that
+  /// response. Bytes that arrive after the next request has been written would pass for its
+  /// response, as nothing in HTTP/1.1 ties a response to its request.
+  runtime::TimePoint settled_at() const;
+  /// Returns whether the backend has neither closed the connection nor sent unsolicited bytes on
+  /// it. If it has, sets `end_reason`.
+  bool check_unused();
+
   DescriptorBudget::Slot slot;
   sockaddr_in address;
+  /// Unix time of the start of the process that the backend had when the connection was opened.
+  std::chrono::milliseconds backend_started_at{0};
   std::unique_ptr<net::Stream> stream;
   /// The reason logged when the connection ends. The default applies to a cancelled attempt, which
   /// destroys its connection without setting a reason.
   EndReason end_reason = EndReason::kAttemptCancelled;
   std::uint64_t requests = 0;
+  /// When the latest response on the connection ended; empty before the first one.
+  std::optional<runtime::TimePoint> last_response_at;
   /// Whether the latest response began with its request's trace id.
   bool echoes_trace_ids = false;
 
@@ -65,10 +79,10 @@
   IdleConnections(const IdleConnections&) = delete;
   IdleConnections& operator=(const IdleConnections&) = delete;
 
-  /// Returns the most recently used connection, or null if there is none. Prefers connections that
-  /// have been idle for at least kSettlingTime, because bytes that do not belong to the previous
-  /// response may still arrive on the others.
-  std::unique_ptr<BackendConnection> take();
+  /// Returns the most recently used connection that is settled, or else the one that will be first,
+  /// or null if there is none that will be by `deadline`. Before sending a request, the caller must
+  /// wait until the connection is settled and then call check_unused().
+  std::unique_ptr<BackendConnection> take(runtime::TimePoint deadline);
   /// Adds `connection`, or closes it if the backend has closed it.
   void put(std::unique_ptr<BackendConnection> connection);
 
--- a/src/testbed/open_loop_load.cpp
+++ b/src/testbed/open_loop_load.cpp
@@ -229,7 +229,7 @@
     stream = std::move(idle_[proxy].back());
     idle_[proxy].pop_back();
     --connections_;
-    if (stream->stale()) {
+    if (stream->unsolicited_input() != net::UnsolicitedInput::kNone) {
       stream.reset();
     }
   }
