Rest connections longer while backends send bytes that belong to no request

Cause: no fixed wait covers the delays of a busy machine, and a longer one costs all deployments.

Change: once any backend has sent bytes that belong to no request, connections rest for 250 ms in place of 25 ms, for a minute. An attempt still waits for 25 ms at the most and otherwise opens a connection.

IdleConnectionsTest.RestsLongerAfterUnsolicitedBytes guards it.

--- a/src/proxy/backend_actor.cpp
+++ b/src/proxy/backend_actor.cpp
@@ -75,7 +75,7 @@
       endpoint_(endpoint),
       status_{EndpointStatus::kRemoved, address},
       inbox_(kInboxCapacity),
-      idle_connections_(inbox_.arrived(), settings),
+      idle_connections_(inbox_.arrived(), settings, pool.settling_time),
       actor_task_(scheduler.spawn(run())) {
   pool_.idle_connections.push_back(&idle_connections_);
 }
@@ -255,17 +255,22 @@
 }
 
 // Takes an idle connection and waits until it is settled. Returns null if there is none that is
-// settled by `deadline`.
+// settled by `deadline` and soon enough that waiting is better than opening another.
 Task<std::unique_ptr<BackendConnection>> BackendActor::take_idle(Time deadline) {
+  deadline = std::min(deadline, now() + SettlingTime::kUsual);
   for (;;) {
     std::unique_ptr<BackendConnection> connection = idle_connections_.take(to_time_point(deadline));
-    if (!connection || connection->settled_at() <= runtime::Clock::now()) {
+    if (!connection) {
+      co_return nullptr;
+    }
+    const TimePoint settled_at = idle_connections_.settled_at(*connection);
+    if (settled_at <= runtime::Clock::now()) {
       co_return connection;
     }
     runtime::Wait wait(scheduler_);
-    wait.until(connection->settled_at());
+    wait.until(settled_at);
     co_await wait;
-    if (connection->check_unused()) {
+    if (idle_connections_.check_unused(*connection)) {
       co_return connection;
     }
   }
--- a/src/proxy/backend_exchange.cpp
+++ b/src/proxy/backend_exchange.cpp
@@ -174,8 +174,11 @@
     }
   }
   reusable_ = parser_.message().keep_alive() && buffer_.empty();
-  connection_.end_reason =
-      buffer_.empty() ? EndReason::kBackendClosed : EndReason::kMalformedResponse;
+  connection_.end_reason = EndReason::kBackendClosed;
+  if (!buffer_.empty()) {
+    pool_.settling_time.report_unsolicited_bytes(Clock::now());
+    connection_.end_reason = EndReason::kMalformedResponse;
+  }
 }
 
 // Reads a complete response, or the head and first part of a streamed one.
--- a/src/proxy/backend_pool.h
+++ b/src/proxy/backend_pool.h
@@ -10,6 +10,7 @@
 #include "proxy/body_pipe.h"
 #include "proxy/descriptor_budget.h"
 #include "proxy/idle_connections.h"
+#include "proxy/settling_time.h"
 #include "proxy/telemetry.h"
 
 namespace beechhill::proxy {
@@ -48,6 +49,7 @@
   Telemetry& telemetry;
   /// The idle connections of each backend, in no particular order.
   std::vector<IdleConnections*> idle_connections;
+  SettlingTime settling_time;
   /// Maximum time without a byte after a response has begun, until it, or the first part of a
   /// streamed one, is complete. After a longer gap the attempt fails, as the response is assumed to
   /// be shorter than its stated length.
--- a/src/proxy/idle_connections.cpp
+++ b/src/proxy/idle_connections.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-// How long after a response bytes may arrive that belong to no request: some milliseconds, and the
-// delays of a backend whose machine is busy.
-constexpr std::chrono::milliseconds kSettlingTime{25};
-
 // A connection is closed when it has been idle for the backend's idle timeout divided by this, so
 // that the proxy closes it before the backend does.
 constexpr int kIdleTimeoutDivisor = 2;
@@ -25,21 +21,24 @@
   owner_->add_readable(*this);
 }
 
-TimePoint BackendConnection::settled_at() const {
-  return last_response_at ? *last_response_at + kSettlingTime : TimePoint::min();
+TimePoint IdleConnections::settled_at(const BackendConnection& connection) const {
+  return connection.last_response_at
+             ? *connection.last_response_at + settling_time_.at(Clock::now())
+             : TimePoint::min();
 }
 
-bool BackendConnection::check_unused() {
-  switch (stream->unsolicited_input()) {
+bool IdleConnections::check_unused(BackendConnection& connection) {
+  switch (connection.stream->unsolicited_input()) {
     case net::UnsolicitedInput::kNone:
       return true;
     case net::UnsolicitedInput::kBytes:
-      end_reason = EndReason::kUnsolicitedBytes;
+      settling_time_.report_unsolicited_bytes(Clock::now());
+      connection.end_reason = EndReason::kUnsolicitedBytes;
       return false;
     case net::UnsolicitedInput::kEnd:
       break;
   }
-  end_reason = EndReason::kBackendClosed;
+  connection.end_reason = EndReason::kBackendClosed;
   return false;
 }
 
@@ -47,13 +46,13 @@
   close_stale();
   while (!connections_.empty()) {
     const auto position = find_preferred();
-    if ((*position)->settled_at() > deadline) {
+    if (settled_at(**position) > deadline) {
       return nullptr;
     }
     // A request on a connection that the backend has closed would be reset. epoll may not have
     // reported the close yet, so the socket is checked.
     std::unique_ptr<BackendConnection> connection = remove(position);
-    if (connection->check_unused()) {
+    if (check_unused(*connection)) {
       return connection;
     }
   }
@@ -66,7 +65,7 @@
 IdleConnections::List::iterator IdleConnections::find_preferred() {
   const TimePoint now = Clock::now();
   auto position = std::prev(connections_.end());
-  while (position != connections_.begin() && (*position)->settled_at() > now) {
+  while (position != connections_.begin() && settled_at(**position) > now) {
     --position;
   }
   return position;
@@ -79,7 +78,7 @@
   idle.stream->watch(&idle);
   // The backend may have closed the connection along with its response; epoll does not report that
   // again, so the socket is checked.
-  if (!idle.check_unused()) {
+  if (!check_unused(idle)) {
     return;
   }
   idle.position_ = connections_.insert(connections_.end(), std::move(connection));
@@ -131,7 +130,7 @@
   while (!readable_.empty()) {
     BackendConnection& connection = *readable_.back();
     remove_readable(connection);
-    if (!connection.check_unused()) {
+    if (!check_unused(connection)) {
       remove(connection.position_);
     }
   }
--- a/src/proxy/idle_connections.h
+++ b/src/proxy/idle_connections.h
@@ -15,6 +15,7 @@
 #include "net/socket.h"
 #include "proxy/connection_log.h"
 #include "proxy/descriptor_budget.h"
+#include "proxy/settling_time.h"
 #include "runtime/scheduler.h"
 
 namespace beechhill::proxy {
@@ -33,15 +34,6 @@
   /// Called only while the connection is idle.
   void on_readable() override;
 
-  /// Returns from when on the connection may carry another request. A backend may send bytes that
-  /// belong to no request, such as its last response once more, some milliseconds behind that
-  /// response. Bytes that arrive after the next request has been written would pass for its
-  /// response, as nothing in HTTP/1.1 ties a response to its request.
-  runtime::TimePoint settled_at() const;
-  /// Returns whether the backend has neither closed the connection nor sent unsolicited bytes on
-  /// it. If it has, sets `end_reason`.
-  bool check_unused();
-
   DescriptorBudget::Slot slot;
   sockaddr_in address;
   /// Unix time of the start of the process that the backend had when the connection was opened.
@@ -72,9 +64,9 @@
  public:
   /// `changed` is notified when a connection becomes readable and when the first connection is
   /// added. The owner must then call close_stale(), and call it again at next_expiry(). `settings`
-  /// states the idle timeout. Both arguments must outlive the object.
-  IdleConnections(runtime::Notifier& changed, const Settings& settings)
-      : changed_(changed), settings_(settings) {}
+  /// states the idle timeout. All arguments must outlive the object.
+  IdleConnections(runtime::Notifier& changed, const Settings& settings, SettlingTime& settling_time)
+      : changed_(changed), settings_(settings), settling_time_(settling_time) {}
   ~IdleConnections() { close_all(EndReason::kBackendDrained); }
   IdleConnections(const IdleConnections&) = delete;
   IdleConnections& operator=(const IdleConnections&) = delete;
@@ -83,6 +75,11 @@
   /// or null if there is none that will be by `deadline`. Before sending a request, the caller must
   /// wait until the connection is settled and then call check_unused().
   std::unique_ptr<BackendConnection> take(runtime::TimePoint deadline);
+  /// Returns from when on `connection` may carry another request.
+  runtime::TimePoint settled_at(const BackendConnection& connection) const;
+  /// Returns whether the backend has neither closed `connection` nor sent unsolicited bytes on it.
+  /// If it has, sets the reason for the connection's end.
+  bool check_unused(BackendConnection& connection);
   /// Adds `connection`, or closes it if the backend has closed it.
   void put(std::unique_ptr<BackendConnection> connection);
 
@@ -111,6 +108,7 @@
 
   runtime::Notifier& changed_;
   const Settings& settings_;
+  SettlingTime& settling_time_;
   List connections_;
   /// Connections that the backend has closed or written to.
   std::vector<BackendConnection*> readable_;
--- a/tests/idle_connections_test.cpp
+++ b/tests/idle_connections_test.cpp
@@ -44,7 +44,8 @@
   runtime::Notifier changed;
   proxy::DescriptorBudget descriptors{8};
   std::vector<TestConnection> accepted;
-  proxy::IdleConnections idle{changed, settings};
+  proxy::SettlingTime settling_time;
+  proxy::IdleConnections idle{changed, settings, settling_time};
   const TimePoint now = Clock::now();
 };
 
@@ -53,7 +54,7 @@
   add(now + 1min);
   const auto taken = idle.take(TimePoint::max());
   EXPECT_EQ(taken.get(), settled);
-  EXPECT_LE(taken->settled_at(), Clock::now());
+  EXPECT_LE(idle.settled_at(*taken), Clock::now());
 }
 
 TEST_F(IdleConnectionsTest, TakesTheFirstToSettleIfNoneIs) {
@@ -61,7 +62,7 @@
   add(now + 2min);
   const auto taken = idle.take(TimePoint::max());
   EXPECT_EQ(taken.get(), first);
-  EXPECT_GT(taken->settled_at(), now + 1min);
+  EXPECT_GT(idle.settled_at(*taken), now + 1min);
 }
 
 // Waiting for a connection must not use up the time of a request that has little left.
@@ -75,7 +76,20 @@
   add(std::nullopt);
   const auto taken = idle.take(now);
   ASSERT_NE(taken, nullptr);
-  EXPECT_LE(taken->settled_at(), now);
+  EXPECT_LE(idle.settled_at(*taken), now);
+}
+
+// On a busy machine a second response can be later than usual. Once backends have sent such bytes,
+// connections rest longer, for a limited time.
+TEST_F(IdleConnectionsTest, RestsLongerAfterUnsolicitedBytes) {
+  add(now - 1min);
+  accepted.back().send("HTTP/1.1 200 OK\r\n");
+  add(now);
+  EXPECT_EQ(idle.take(now + proxy::SettlingTime::kAfterUnsolicitedBytes - 1ms), nullptr);
+  EXPECT_EQ(settling_time.at(Clock::now()), proxy::SettlingTime::kAfterUnsolicitedBytes);
+  EXPECT_EQ(settling_time.at(Clock::now() + proxy::SettlingTime::kSuspicionTime),
+            proxy::SettlingTime::kUsual);
+  EXPECT_NE(idle.take(now + proxy::SettlingTime::kAfterUnsolicitedBytes), nullptr);
 }
 
 TEST_F(IdleConnectionsTest, DropsConnectionsThatTheBackendWroteToOrClosed) {
