Tests of the backend's actor wait for a message in one place

The wait stood three times in the fixture. Assertions are unchanged. A comment of BufferKind is reflowed. backend_actor_test passed: 13 tests.

--- a/src/proxy/buffer_budget.h
+++ b/src/proxy/buffer_budget.h
@@ -20,9 +20,8 @@
   kRequest,
   /// A part of a streamed request body.
   kUpload,
-  /// The head of a request, or a part of its body in its transfer encoding, that is being written
-  /// to
-  /// a backend.
+  /// What is being written to a backend: a request's head, or a part of its body in its transfer
+  /// encoding.
   kBackendOutput,
   /// Bytes received from a backend that belong to no complete response yet.
   kBackendInput,
--- a/tests/backend_actor_test.cpp
+++ b/tests/backend_actor_test.cpp
@@ -34,10 +34,15 @@
     return {1, 0, now + 3s, now + 3s, {}, std::make_shared<TestPayload>(), std::move(request)};
   }
 
-  runtime::Task<> stop_after_first_message() {
+  // Waits until the actor has posted a message.
+  runtime::Task<> next_message() {
     runtime::Wait wait(scheduler);
     wait.notified(decisions.arrived()).until(Clock::now() + kTestTimeout);
     co_await wait;
+  }
+
+  runtime::Task<> stop_after_first_message() {
+    co_await next_message();
     scheduler.stop();
   }
 
@@ -71,10 +76,7 @@
       EXPECT_TRUE(decisions.empty());
       while_connecting();
     }
-    runtime::Wait wait(scheduler);
-    wait.notified(decisions.arrived()).until(Clock::now() + kTestTimeout);
-    co_await wait;
-    scheduler.stop();
+    co_await stop_after_first_message();
   }
 };
 
@@ -181,12 +183,6 @@
     settings.connect_timeout = 1s;
   }
 
-  runtime::Task<> next_message() {
-    runtime::Wait wait(scheduler);
-    wait.notified(decisions.arrived()).until(Clock::now() + kTestTimeout);
-    co_await wait;
-  }
-
   // Plays a request and its response, begins a second request at once, and then sends the response
   // again without reading the second request. Stores the response to the second request.
   runtime::Task<> play(proxy::BackendMessage first) {
