--- a/review/10/driver.cpp
+++ b/review/10/driver.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-constexpr int kBackends = 4;
+constexpr int kBackends = 12;
 constexpr int kRequests = 6;
-constexpr int kTimeMs = 800;
+constexpr int kTimeMs = 800;                   // of an ajuste: two fifths of its deadline
 constexpr std::size_t kAnswerBytes = 200'000;  // more than 64 KiB
 constexpr std::size_t kPieceBytes = 1600;      // one each 25 ms: 64 kB a second
 constexpr auto kPieceInterval = 25ms;
@@ -26,7 +26,7 @@
   const bool trouble = begin_case();
   Record record(argv[1]);
   const auto answer = [&](const Call& call) {
-    const bool chunked = call.target == "/look/chunked";
+    const bool chunked = call.target == "/ajuste/chunked";
     bool open =
         send_all(call.socket, "HTTP/1.1 200 OK\r\n" +
                                   (chunked ? std::string("Transfer-Encoding: chunked\r\n\r\n")
@@ -46,14 +46,9 @@
                        open ? "given whole" : "CUT OFF", given, seconds(Clock::now() - call.at)));
     return open;
   };
-  std::vector<std::unique_ptr<Backend>> backends;
-  std::vector<std::string> entries;
-  for (int i = 0; i < kBackends; ++i) {
-    backends.push_back(std::make_unique<Backend>(format("s-%d", i), answer));
-    entries.push_back(backends.back()->entry());
-  }
-  const Discovery discovery(entries);
-  Proxy proxy(argv[2], {{{"look", "repeatable", 750, 2000}}}, discovery);
+  const Backends backends(kBackends, "sala-cordon", answer);
+  const Discovery discovery(backends.entries);
+  Proxy proxy(argv[2], {kMontevideoHall, 192, 1024}, discovery);
   if (!proxy.wait_until_ready()) {
     record.line("the proxy does not become ready");
     return kCouldNotRun;
@@ -69,7 +64,7 @@
     const bool chunked = i % 2 == 0;
     const std::string id = format("%s-%d", chunked ? "chunked" : "length", i);
     const Socket client = connect_to(proxy.port());
-    send_all(client, get_request(chunked ? "/look/chunked" : "/look/length", id, kTimeMs));
+    send_all(client, ajuste(id, kTimeMs, chunked ? "/ajuste/chunked" : "/ajuste/length"));
     const TimePoint sent = Clock::now();
     Reader reader(client);
     const bool begun = reader.fill(sent + 10s);
--- a/review/7/driver.cpp
+++ b/review/7/driver.cpp
@@ -6,10 +6,11 @@
 
 namespace {
 
-constexpr int kBackends = 4;
+constexpr int kBackends = 12;
 constexpr int kBadClients = 500;
 constexpr int kUsualClients = 10;
-constexpr int kTimeMs = 800;
+constexpr int kTimeMs = 800;  // of an ajuste: two fifths of its deadline
+constexpr auto kWork = 70ms;
 constexpr auto kSlack = 550ms;   // half a second, and the 50 ms that each limit is longer
 constexpr auto kOwedToBad = 3s;  // an error or a close within 3 s of connecting
 
@@ -26,17 +27,12 @@
     ++attempts;
     record.line("backend got " + call.trace_id + ", told to answer within " +
                 std::to_string(call.expires_in_ms) + " ms");
-    std::this_thread::sleep_for(20ms);
+    std::this_thread::sleep_for(kWork);
     return send_all(call.socket, response(200, "answer to " + call.trace_id));
   };
-  std::vector<std::unique_ptr<Backend>> backends;
-  std::vector<std::string> entries;
-  for (int i = 0; i < kBackends; ++i) {
-    backends.push_back(std::make_unique<Backend>(format("s-%d", i), answer));
-    entries.push_back(backends.back()->entry());
-  }
-  const Discovery discovery(entries);
-  Proxy proxy(argv[2], {{{"look", "repeatable", 750, 2000}}, 192, 256}, discovery);
+  const Backends backends(kBackends, "sala-cordon", answer);
+  const Discovery discovery(backends.entries);
+  Proxy proxy(argv[2], {kMontevideoHall, 192, 256}, discovery);
   if (!proxy.wait_until_ready()) {
     record.line("the proxy does not become ready");
     return kCouldNotRun;
@@ -46,7 +42,7 @@
   const TimePoint bad_since = Clock::now();
   for (int i = 0; trouble && i < kBadClients; ++i) {
     bad.push_back(connect_to(proxy.port()));
-    send_all(bad.back(), "GET /look/x HTTP/1.1\r\nHost: api\r\nX-Trace");
+    send_all(bad.back(), "POST /ajuste/q HTTP/1.1\r\nHost: api.internal\r\nX-Trace");
   }
   record.line(format("%zu clients have sent half a request each, and stay", bad.size()));
 
@@ -57,7 +53,7 @@
       std::this_thread::sleep_for(50ms * i);
       const std::string id = format("usual-%d", i);
       const Socket client = connect_to(proxy.port());
-      const bool written = client && send_all(client, get_request("/look/x", id, kTimeMs));
+      const bool written = client && send_all(client, ajuste(id, kTimeMs));
       const TimePoint sent = Clock::now();
       Reader reader(client);
       const TimePoint late = sent + std::chrono::milliseconds(kTimeMs) + kSlack;
--- a/review/stand-ins-2/stand_ins.h
+++ b/review/stand-ins-2/stand_ins.h
@@ -7,6 +7,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -358,10 +359,12 @@
         server_([this](Socket socket) { serve(socket); }) {}
 
   const std::string& name() const { return name_; }
-  std::string entry(const std::string& health = "in_service") const {
-    return format(R"({"host":"%s","dial":"%s","site":"hall","class":"a","block":0,)"
-                  R"("health":"%s","share":1.0,"born_ms":0})",
-                  name_.c_str(), server_.address().c_str(), health.c_str());
+  // The entry of the list, for a backend in `zone` and rack `block`.
+  std::string entry(const std::string& zone, int block) const {
+    return format(R"({"host":"%s","dial":"%s","site":"%s","class":"%s","block":%d,)"
+                  R"("health":"in_service","share":1.0,"born_ms":0})",
+                  name_.c_str(), server_.address().c_str(), zone.c_str(),
+                  zone == "sala-cordon" ? "consulta-a" : "portal-mare", block);
   }
 
  private:
@@ -376,7 +379,10 @@
       const auto last = request->start_line.rfind(' ');
       const std::string target = request->start_line.substr(first + 1, last - first - 1);
       if (target == "/stats" || target == "/health/live") {
-        send_all(socket, response(404, ""));
+        send_all(
+            socket,
+            response(200, "",
+                     "Endpoint-Load-Metrics: TEXT cpu_share=0.30, served_ps=20, pending=0\r\n"));
         continue;
       }
       const Call call{target,        request->header("x-trace-id"),
@@ -441,43 +447,49 @@
 
 // ---- The proxy
 
-struct ClassSettings {
-  std::string name;
-  std::string repeat;  // repeatable, by_key or once
-  int aim_ms = 0;
-  int deadline_ms = 0;
-};
-
-// The settings of a small deployment, with `classes` and the most figures of the wire page's
-// example.
-inline std::string settings_of(const std::vector<ClassSettings>& classes) {
-  std::string profiles;
-  for (const ClassSettings& settings : classes) {
-    profiles += (profiles.empty() ? "" : ",") +
-                format(R"({"name":"%s","repeat":"%s","group":"all","memory-span":5000000,)"
-                       R"("aim":%d000,"deadline":%d000,"late-worth":0.2,"worth":3.0,)"
-                       R"("streaming":false})",
-                       settings.name.c_str(), settings.repeat.c_str(), settings.aim_ms,
-                       settings.deadline_ms);
-  }
-  return R"({"areas":["hall"],"zone":"hall","clients":{"marks-retry":false},"discovery":"push",)"
-         R"("family":"chain","extra":{"passes-deadline":true},"kinds":["a"],"rank":0,)"
-         R"("replicas-of-me":1,"tier":0,"tiers":["first"],"weights":"none","worth-by":"request",)"
-         R"("step":4000,"tenants":[],"over-share-worth":0.2,)"
-         R"("guarantees":{"ask-within":10000000,"cold":23000000,"cold-from":0.15,)"
-         R"("drain-grace":2000000,"fall-multiple":3.0,"grace-to-answer":16000,)"
-         R"("tip-after":3000000},)"
-         R"("limits":{"connect-timeout":100000,"cpu-us-per-request":0.0,"cpu-us-per-s":800000,)"
-         R"("idle-close":30000000,"max-open":20000,"max-retry-after":1500000,"may-cancel":true,)"
-         R"("most-tries":6,"parallel-tries":true,"peers":false,"probes":false,)"
-         R"("retry-after":true,"streams-per-conn":1},)"
-         R"("report":{"columns":["cpu_share","served_ps","pending"],"source":"answers"},)"
-         R"("profiles":[)" +
-         profiles + "]}";
-}
+// The object of the settings that the wire page gives as its example: a deployment with a class
+// that is safe to repeat and a keyed one, whose key counts within a small rack.
+inline const char* const kMontevideoHall =
+    R"({"areas":["sala-cordon"],"clients":{"marks-retry":true},"discovery":"push",)"
+    R"("extra":{"passes-deadline":true},"family":"chain",)"
+    R"("guarantees":{"ask-within":10000000,"cold":23000000,"cold-from":0.15,)"
+    R"("drain-grace":2000000,"fall-multiple":3.0,"grace-to-answer":16000,"tip-after":3000000},)"
+    R"("kinds":["consulta-a","consulta-b"],)"
+    R"("limits":{"connect-timeout":100000,"cpu-us-per-request":0.0,"cpu-us-per-s":800000,)"
+    R"("idle-close":30000000,"max-open":20000,"max-retry-after":1500000,"may-cancel":true,)"
+    R"("most-tries":6,"parallel-tries":true,"peers":false,"probes":true,"retry-after":true,)"
+    R"("streams-per-conn":1},"over-share-worth":0.2,"prices":{"probe":0.01,"waste":0.27},)"
+    R"("profiles":[{"aim":1200000,"deadline":3000000,"group":"all","late-worth":0.0,)"
+    R"("memory-span":5000000,"name":"ver-llamadas","repeat":"repeatable","streaming":false,)"
+    R"("worth":3.0},{"aim":750000,"deadline":2000000,"group":"cell","late-worth":0.0,)"
+    R"("memory-span":3000000,"name":"ajuste","repeat":"by_key","streaming":false,"worth":10.0}],)"
+    R"("rank":0,"replicas-of-me":1,)"
+    R"("report":{"columns":["cpu_share","served_ps","pending"],"source":"answers"},"step":4000,)"
+    R"("tenants":[{"allowance-per-s":126.0,"name":"telnorte","share":0.22}],"tier":0,)"
+    R"("tiers":["consulta","indice","archivo"],"weights":"none","worth-by":"request",)"
+    R"("zone":"sala-cordon"})";
+
+// Settings after the users' page, with its class that must never run twice.
+inline const char* const kConfiguratorAnec =
+    R"({"areas":["bucuresti","cluj"],"clients":{"marks-retry":false},"discovery":"push",)"
+    R"("extra":{"passes-deadline":false},"family":"chain",)"
+    R"("guarantees":{"ask-within":10000000,"cold":24000000,"cold-from":0.12,)"
+    R"("drain-grace":300000,"fall-multiple":4.0,"grace-to-answer":16000,"tip-after":2000000},)"
+    R"("kinds":["portal-mare"],)"
+    R"("limits":{"connect-timeout":250000,"cpu-us-per-request":0.0,"cpu-us-per-s":15000,)"
+    R"("idle-close":10000000,"max-open":20000,"max-retry-after":3000000,"may-cancel":true,)"
+    R"("most-tries":5,"parallel-tries":true,"peers":false,"probes":true,"retry-after":true,)"
+    R"("streams-per-conn":1},"over-share-worth":0.05,"prices":{"probe":0.0066,"waste":0.2},)"
+    R"("profiles":[{"aim":2500000,"deadline":6000000,"group":"all","late-worth":0.3,)"
+    R"("memory-span":0,"name":"depunere-cerere","repeat":"once","streaming":false,"worth":2.0}],)"
+    R"("rank":0,"replicas-of-me":1,)"
+    R"("report":{"columns":["svc_ms","cpu_share","served_ps"],"source":"answers"},"step":5000,)"
+    R"("tenants":[{"allowance-per-s":50.0,"name":"judet-ilfov","share":0.57}],"tier":0,)"
+    R"("tiers":["portal","calcul"],"weights":"nominal","worth-by":"request",)"
+    R"("zone":"bucuresti"})";
 
 struct ProxySettings {
-  std::vector<ClassSettings> classes;
+  const char* settings = kMontevideoHall;
   int memory_mb = 192;
   int sockets = 1024;
 };
@@ -501,11 +513,11 @@
                R"("seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},)",
                port_, discovery.address().c_str(), admin_port_, settings.memory_mb,
                settings.sockets)
-        << R"("known":)" << discovery.list() << R"(,"settings":)" << settings_of(settings.classes)
-        << "}\n";
+        << R"("known":)" << discovery.list() << R"(,"settings":)" << settings.settings << "}\n";
     log_ = folder_ + "/log";
     pid_ = ::fork();
     if (pid_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // the proxy does not outlive the case
       for (const char* name : {"GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_ADMIN_ADDR", "GW_FD",
                                "BEECHHILL_OPERATOR"}) {
         ::unsetenv(name);
@@ -609,18 +621,42 @@
   return trouble == nullptr || std::string_view(trouble) != "0";
 }
 
-// A request of a class that is safe to repeat.
-inline std::string get_request(const std::string& target, const std::string& trace_id,
-                               int expires_in_ms) {
-  return "GET " + target + " HTTP/1.1\r\nHost: api\r\nX-Trace-Id: " + trace_id +
-         "\r\nX-Expires-In-Ms: " + std::to_string(expires_in_ms) + "\r\n\r\n";
+// Backends of one zone, in racks of three, and their entries of the list.
+struct Backends {
+  Backends(int count, const std::string& zone, const Backend::Answer& answer) {
+    for (int i = 0; i < count; ++i) {
+      all.push_back(std::make_unique<Backend>(format("s-%08x", 0x5be2a000 + i), answer));
+      entries.push_back(all.back()->entry(zone, i / 3));
+    }
+  }
+  std::vector<std::unique_ptr<Backend>> all;
+  std::vector<std::string> entries;
+};
+
+inline std::string head_of(const std::string& method, const std::string& target,
+                           const std::string& tenant, const std::string& trace_id,
+                           int expires_in_ms) {
+  return method + " " + target + " HTTP/1.1\r\nHost: api.internal\r\nX-Trace-Id: " + trace_id +
+         "\r\nX-Customer: " + tenant + "\r\nX-Expires-In-Ms: " + std::to_string(expires_in_ms) +
+         "\r\n";
+}
+
+// A request of the class that is safe to repeat.
+inline std::string ver_llamadas(const std::string& trace_id, int expires_in_ms) {
+  return head_of("GET", "/ver-llamadas/q", "telnorte", trace_id, expires_in_ms) + "\r\n";
+}
+
+// A request of the keyed class.
+inline std::string ajuste(const std::string& trace_id, int expires_in_ms,
+                          const std::string& target = "/ajuste/q") {
+  return head_of("POST", target, "telnorte", trace_id, expires_in_ms) + "Idempotency-Key: key-" +
+         trace_id + "\r\nContent-Length: 2\r\n\r\n{}";
 }
 
-inline std::string post_request(const std::string& target, const std::string& trace_id,
-                                int expires_in_ms, const std::string& body) {
-  return "POST " + target + " HTTP/1.1\r\nHost: api\r\nX-Trace-Id: " + trace_id +
-         "\r\nX-Expires-In-Ms: " + std::to_string(expires_in_ms) +
-         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+// A request of the class that must never run twice.
+inline std::string depunere_cerere(const std::string& trace_id, int expires_in_ms) {
+  return head_of("POST", "/depunere-cerere/q", "judet-ilfov", trace_id, expires_in_ms) +
+         "Content-Length: 2\r\n\r\n{}";
 }
 
 }  // namespace stand_ins
