--- a/review/7/driver.cpp
+++ b/review/7/driver.cpp
@@ -1,5 +1,6 @@
-// Case 7: hundreds of clients stop in the middle of a request and stay. Requests of usual clients
-// behind them get no answer in their time, nor within half a second after it.
+// Case 7: during an upgrade, a bad client sends the id of another client's open request, which the
+// old process holds. The new process serves it, and the id of a request that must never run twice
+// reaches a backend for the second time.
 #include "../stand-ins-2/stand_ins.h"
 
 using namespace stand_ins;
@@ -7,12 +8,9 @@
 namespace {
 
 constexpr int kBackends = 12;
-constexpr int kBadClients = 500;
-constexpr int kUsualClients = 10;
-constexpr int kTimeMs = 800;  // of an ajuste: two fifths of its deadline
-constexpr auto kWork = 70ms;
-constexpr auto kSlack = 550ms;   // half a second, and the 50 ms that each limit is longer
-constexpr auto kOwedToBad = 3s;  // an error or a close within 3 s of connecting
+constexpr int kPairs = 5;
+constexpr int kTimeMs = 4200;  // seven tenths of the deadline of 6 s
+constexpr auto kWork = 500ms;
 
 }  // namespace
 
@@ -22,77 +20,97 @@
   }
   const bool trouble = begin_case();
   Record record(argv[1]);
-  std::atomic<int> attempts{0};
+  std::mutex mutex;
+  std::map<std::string, int> runs;  // by id
   const auto answer = [&](const Call& call) {
-    ++attempts;
-    record.line("backend got " + call.trace_id + ", told to answer within " +
-                std::to_string(call.expires_in_ms) + " ms");
+    {
+      const std::lock_guard lock(mutex);
+      record.line(format("backend runs %s, for the %s time", call.trace_id.c_str(),
+                         ++runs[call.trace_id] == 1 ? "first" : "SECOND"));
+    }
     std::this_thread::sleep_for(kWork);
-    return send_all(call.socket, response(200, "answer to " + call.trace_id));
+    return send_all(call.socket, response(200, "quote for " + call.trace_id));
   };
-  const Backends backends(kBackends, "sala-cordon", answer);
+  const Backends backends(kBackends, "bucuresti", answer);
   const Discovery discovery(backends.entries);
-  Proxy proxy(argv[2], {kMontevideoHall, 192, 256}, discovery);
-  if (!proxy.wait_until_ready()) {
+  const Platform platform;
+  const ProxySettings settings{kConfiguratorAnec, 192, 1024};
+  Proxy first(argv[2], settings, discovery, &platform);
+  if (!first.wait_until_it_says_yes()) {
     record.line("the proxy does not become ready");
     return kCouldNotRun;
   }
 
-  std::vector<Socket> bad;
-  const TimePoint bad_since = Clock::now();
-  for (int i = 0; trouble && i < kBadClients; ++i) {
-    bad.push_back(connect_to(proxy.port()));
-    send_all(bad.back(), "POST /ajuste/q HTTP/1.1\r\nHost: api.internal\r\nX-Trace");
+  // The usual clients have used their connections before, so that they are the first process's.
+  std::vector<Socket> usual;
+  std::vector<std::unique_ptr<Reader>> readers;
+  for (int i = 0; i < kPairs; ++i) {
+    usual.push_back(connect_to(platform.port));
+    readers.push_back(std::make_unique<Reader>(usual.back()));
+    send_all(usual.back(), depunere_cerere(format("0c5f6e1a2b3d4c5%d", i), kTimeMs));
+  }
+  for (const auto& reader : readers) {
+    const auto got = reader->read(Clock::now() + 5s);
+    if (!got || got->status() != 200) {
+      record.line("no answer before the disruption");
+      return kCouldNotRun;
+    }
   }
-  record.line(format("%zu clients have sent half a request each, and stay", bad.size()));
 
-  std::atomic<int> lost{0};
-  std::vector<std::thread> usual;
-  for (int i = 0; i < kUsualClients; ++i) {
-    usual.emplace_back([&, i] {
-      std::this_thread::sleep_for(50ms * i);
-      const std::string id = format("usual-%d", i);
-      const Socket client = connect_to(proxy.port());
-      const bool written = client && send_all(client, ajuste(id, kTimeMs));
-      const TimePoint sent = Clock::now();
-      Reader reader(client);
-      const TimePoint late = sent + std::chrono::milliseconds(kTimeMs) + kSlack;
-      const auto got = reader.read(late);
-      const double in_time = seconds(Clock::now() - sent);
-      if (got) {
-        record.line(format("%s: sent at %.3f, answered %d after %.3f s", id.c_str(),
-                           since_start(sent), got->status(), in_time));
-        return;
-      }
-      ++lost;
-      const std::string end = written ? reader.end_text() : "not written";
-      const auto later = reader.read(sent + 10s);
-      record.line(format("%s: sent at %.3f with %d ms, %s by %.3f s: LOST; later: %s after %.3f s",
-                         id.c_str(), since_start(sent), kTimeMs, end.c_str(), in_time,
-                         later ? later->start_line.c_str() : reader.end_text().c_str(),
-                         seconds(Clock::now() - sent)));
-    });
+  std::optional<Proxy> second;
+  if (trouble) {
+    second.emplace(argv[2], settings, discovery, &platform);
+    if (!second->wait_until_it_says_yes()) {
+      record.line("the second process does not become ready");
+      return kCouldNotRun;
+    }
+    record.line("the second process says yes");
+  }
+  const auto id_of = [](int i) { return format("9b1f03aa5c7e2d4%d", i); };
+  for (int i = 0; i < kPairs; ++i) {
+    send_all(usual[static_cast<std::size_t>(i)], depunere_cerere(id_of(i), kTimeMs));
+  }
+  const TimePoint sent = Clock::now();
+  if (trouble) {
+    first.signal(SIGTERM);
+    record.line("SIGTERM to the first process");
+  }
+  std::this_thread::sleep_until(sent + 150ms);
+  int served_bad = 0;
+  int served_usual = 0;
+  std::vector<Socket> bad;
+  for (int i = 0; i < kPairs; ++i) {
+    bad.push_back(connect_to(platform.port));
+    send_all(bad.back(), depunere_cerere(id_of(i), kTimeMs));
   }
-  for (std::thread& thread : usual) {
-    thread.join();
+  record.line(format("bad clients have sent the ids of %d open requests, %.3f s after those",
+                     kPairs, seconds(Clock::now() - sent)));
+  for (int i = 0; i < kPairs; ++i) {
+    const auto index = static_cast<std::size_t>(i);
+    const auto got = readers[index]->read(sent + 5s);
+    const auto copied = Reader(bad[index]).read(sent + 5s);
+    record.line(format("%s: usual client: %s; bad client: %s", id_of(i).c_str(),
+                       got ? got->start_line.c_str() : "no answer",
+                       copied ? copied->start_line.c_str() : "a close, or nothing"));
+    served_usual += got && got->status() == 200 ? 1 : 0;
+    served_bad += copied && copied->status() == 200 ? 1 : 0;
   }
-  int bad_ended = 0;
-  for (const Socket& client : bad) {
-    Reader reader(client);
-    const bool answered = reader.read_head(bad_since + kOwedToBad + 2s).has_value();
-    bad_ended += answered || reader.end() != Reader::End::kTimeout ? 1 : 0;
+  int twice = 0;
+  {
+    const std::lock_guard lock(mutex);
+    for (const auto& [id, number] : runs) {
+      twice += number > 1 ? 1 : 0;
+    }
   }
-  record.line(format("of %zu bad clients %d got an error or a close; attempts at backends: %d",
-                     bad.size(), bad_ended, attempts.load()));
-  bool broken = lost > 0;
-  if (proxy.ended()) {
-    record.line("the proxy has ended");
-    broken = true;
+  record.line(
+      format("usual clients served: %d of %d; bad clients served: %d; ids that ran twice, "
+             "in a class that must never run twice: %d",
+             served_usual, kPairs, served_bad, twice));
+  const bool broken = served_bad > 0 || twice > 0;
+  record.line(broken ? "BROKEN" : "held");
+  first.stop();
+  if (second) {
+    second->stop();
   }
-  record.line(broken ? format("BROKEN: %d of %d requests have no answer half a second after "
-                              "their time",
-                              lost.load(), kUsualClients)
-                     : "held");
-  proxy.stop();
   std::_Exit(broken ? kBroken : kHeld);
 }
