--- a/review/run-case-2.sh
+++ b/review/run-case-2.sh
@@ -13,9 +13,9 @@
 fi
 CASE_TMP=$(mktemp -d) || exit 2
 export CASE_TMP
+trap 'rm -rf "$CASE_TMP"' EXIT
 timeout --kill-after=2 115 "$driver" "review/$number/record.txt" "$run"
 code=$?
-rm -rf "$CASE_TMP"
 case $code in
   0 | 1) exit "$code" ;;
   *) exit 2 ;;
--- a/review/stand-ins-2/stand_ins.h
+++ b/review/stand-ins-2/stand_ins.h
@@ -526,21 +526,22 @@
         const Platform* platform = nullptr)
       : port_(platform ? platform->port : free_port()), admin_port_(free_port()) {
     const std::string shared = platform ? platform->folder : folder_;
-    const std::string config = folder_ + "/config.json";
+    // All processes of one proxy read the same file; only the operators' address differs.
+    const std::string config = shared + "/config.json";
     std::ofstream(config)
         << format(
-               R"({"name":"n1","listen":"127.0.0.1:%d","discovery":"%s","admin_addr":"127.0.0.1:%d",)"
-               R"("seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},)",
-               port_, discovery.address().c_str(), admin_port_, settings.memory_mb,
-               settings.sockets)
+               R"({"name":"n1","listen":"127.0.0.1:%d","discovery":"%s","seed":"8c1f30d27a5be964",)"
+               R"("limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},)",
+               port_, discovery.address().c_str(), settings.memory_mb, settings.sockets)
         << R"("known":)" << discovery.list() << R"(,"settings":)" << settings.settings << "}\n";
     pid_ = ::fork();
     if (pid_ == 0) {
       ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // the proxy does not outlive the case
-      for (const char* name : {"GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_ADMIN_ADDR", "GW_FD",
-                               "BEECHHILL_OPERATOR"}) {
+      for (const char* name :
+           {"GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "GW_FD", "BEECHHILL_OPERATOR"}) {
         ::unsetenv(name);
       }
+      ::setenv("GW_ADMIN_ADDR", ("127.0.0.1:" + std::to_string(admin_port_)).c_str(), 1);
       ::setenv("GW_CONFIG", config.c_str(), 1);
       ::setenv("TMPDIR", shared.c_str(), 1);
       if (platform) {
